Serve the users' platform straight from the entry VMs

Cause: the product had no way onto the platform; every request went through a sidecar over the link. Ruled out: a sidecar in the path (another hop, another machine), a claim row for each request (each attempt has its own id). Change: platform/ decodes the wire; role router follows configuration and servers in the store, picks servers by own and peers' work, sends over HTTP/1.1 with a typed outcome, reports usage under the existing lease.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,7 @@
 	Version  versionCommand  `command:"version"  description:"print the version"`
 	Entry    entryCommand    `command:"entry"    description:"run an entry process"`
 	Sidecar  sidecarCommand  `command:"sidecar"  description:"run a sidecar process beside an endpoint"`
+	Router   routerCommand   `command:"router"   description:"run a router process straight before servers, on the users' platform"`
 	Stub     stubCommand     `command:"stub"     description:"run a stand-in of an outside system"`
 	Config   configCommand   `command:"config"   description:"read and change the configuration"`
 	Key      keyCommand      `command:"key"      description:"make keys and their digests"`
--- /dev/null
+++ b/internal/command/router.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"os"
+	"runtime"
+
+	"vanillapond/internal/role/router"
+	"vanillapond/platform"
+)
+
+type routerCommand struct {
+	command
+	Settings    string `long:"settings" value-name:"FILE" description:"settings in the platform's format (default: the file that VANILLAPOND_NODE_FILE names)"`
+	MetricsPort int    `long:"metrics-port" value-name:"PORT" description:"serve counters at this port of the VM's address"`
+	Check       bool   `long:"check" description:"check the settings and end"`
+}
+
+func (c *routerCommand) run(shell *shell) error {
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	loaded, err := platform.LoadSettings(path)
+	if err != nil {
+		return usageError(err)
+	}
+	if c.Check {
+		return checked(shell, path)
+	}
+	runtime.GOMAXPROCS(max(loaded.Cores, 1))
+	started, err := router.Start(shell.ctx, router.Config{Settings: loaded, Log: shell.out, MetricsPort: c.MetricsPort, Build: Build})
+	if err != nil {
+		return err
+	}
+	return serve(shell, started)
+}
--- /dev/null
+++ b/internal/connection/servers/servers.go
@@ -0,0 +1,202 @@
+// Package servers knows the servers that are registered in the store, each with its connections.
+package servers
+
+import (
+	"sync"
+	"time"
+
+	"vanillapond/internal/connection/direct"
+	"vanillapond/internal/process/clock"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+// Server is one incarnation of a server at one address.
+type Server struct {
+	platform.Server
+	Pool *direct.Pool
+	// lapsing is when the server is forgotten because its entry is missing; 0 while the entry is there.
+	lapsing clock.Reading
+}
+
+// Config says how servers are reached and forgotten.
+type Config struct {
+	// NewPool returns the connections to a server.
+	NewPool func(server platform.Server) *direct.Pool
+	// ReturnTime is how long a server whose entry is missing after the store was away is still used.
+	ReturnTime time.Duration
+	// Now reads the clock; nil means clock.Boot.
+	Now func() clock.Reading
+}
+
+// Registry holds the servers that take new work, by service.
+type Registry struct {
+	config Config
+	mu     sync.RWMutex
+	// known holds all servers with an entry that could be read, leaving ones too; guarded by mu.
+	known map[ident.Endpoint]*Server
+	// ready holds the servers of each service that take new work; its lists are never changed. Guarded by mu.
+	ready map[ident.Pool][]*Server
+	// listed says that the servers were listed once; guarded by mu.
+	listed bool
+	// disturbed is when the store last failed to answer; guarded by mu.
+	disturbed clock.Reading
+}
+
+// New returns an empty registry.
+func New(config Config) *Registry {
+	if config.Now == nil {
+		config.Now = clock.Boot
+	}
+	return &Registry{config: config, known: make(map[ident.Endpoint]*Server), ready: make(map[ident.Pool][]*Server)}
+}
+
+// Ready returns the servers of a service that take new work; the list must not be changed.
+func (r *Registry) Ready(service ident.Pool) []*Server {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.ready[service]
+}
+
+// Takes reports whether a server still takes new work.
+func (r *Registry) Takes(server *Server) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	known := r.known[server.ID]
+	return known == server && known.State == platform.ServerReady
+}
+
+// Listed reports whether the servers have been listed once.
+func (r *Registry) Listed() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.listed
+}
+
+// Counts returns how many servers are known and how many of them take new work.
+func (r *Registry) Counts() (known, ready int) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, list := range r.ready {
+		ready += len(list)
+	}
+	return len(r.known), ready
+}
+
+// Disturbed notes that the store did not answer: entries that are missing from now on may be back soon.
+func (r *Registry) Disturbed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbed = r.config.Now()
+}
+
+// Event is a change of what the registry believes.
+type Event struct {
+	// Name is joined, changed, leaving, missing, returned or gone.
+	Name   string
+	Server platform.Server
+}
+
+// Update takes over entries; whole says that they are all there are.
+func (r *Registry) Update(entries []platform.Server, removed []ident.Endpoint, whole bool) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var events []Event
+	present := make(map[ident.Endpoint]bool, len(entries))
+	for _, entry := range entries {
+		present[entry.ID] = true
+		events = r.put(events, entry)
+	}
+	for _, id := range removed {
+		events = r.miss(events, id)
+	}
+	if whole {
+		r.listed = true
+		for id := range r.known {
+			if !present[id] {
+				events = r.miss(events, id)
+			}
+		}
+	}
+	r.index()
+	return events
+}
+
+// put takes over one entry; the caller holds mu.
+func (r *Registry) put(events []Event, entry platform.Server) []Event {
+	old := r.known[entry.ID]
+	if old == nil {
+		r.known[entry.ID] = &Server{Server: entry, Pool: r.config.NewPool(entry)}
+		return append(events, Event{Name: "joined", Server: entry})
+	}
+	if old.Address != entry.Address || old.Born != entry.Born || old.Service != entry.Service {
+		old.Pool.Close()
+		r.known[entry.ID] = &Server{Server: entry, Pool: r.config.NewPool(entry)}
+		return append(events, Event{Name: "changed", Server: entry})
+	}
+	name := ""
+	switch {
+	case old.State != entry.State:
+		name = "leaving"
+	case old.lapsing != 0:
+		name = "returned"
+	}
+	// A new value, because requests read the old one without the lock.
+	r.known[entry.ID] = &Server{Server: entry, Pool: old.Pool}
+	if name == "" {
+		return events
+	}
+	return append(events, Event{Name: name, Server: entry})
+}
+
+// miss notes that an entry is missing; after a disturbance of the store it may come back. The caller holds mu.
+func (r *Registry) miss(events []Event, id ident.Endpoint) []Event {
+	old := r.known[id]
+	if old == nil || old.lapsing != 0 {
+		return events
+	}
+	now := r.config.Now()
+	if r.disturbed != 0 && now.Sub(r.disturbed) < r.config.ReturnTime && old.State == platform.ServerReady {
+		r.known[id] = &Server{Server: old.Server, Pool: old.Pool, lapsing: now.Add(r.config.ReturnTime)}
+		return append(events, Event{Name: "missing", Server: old.Server})
+	}
+	return r.drop(events, id)
+}
+
+func (r *Registry) drop(events []Event, id ident.Endpoint) []Event {
+	old := r.known[id]
+	old.Pool.Close()
+	delete(r.known, id)
+	return append(events, Event{Name: "gone", Server: old.Server})
+}
+
+// Sweep forgets servers whose entries have not come back, and closes connections that were idle too long.
+func (r *Registry) Sweep() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var events []Event
+	now := r.config.Now()
+	wall := time.Now()
+	for id, server := range r.known {
+		if server.lapsing != 0 && now >= server.lapsing {
+			events = r.drop(events, id)
+			continue
+		}
+		server.Pool.Trim(wall)
+	}
+	if len(events) > 0 {
+		r.index()
+	}
+	return events
+}
+
+// index makes the lists of servers that take new work; the caller holds mu.
+func (r *Registry) index() {
+	ready := make(map[ident.Pool][]*Server)
+	for _, server := range r.known {
+		if server.State == platform.ServerReady {
+			ready[server.Service] = append(ready[server.Service], server)
+		}
+	}
+	r.ready = ready
+}
--- /dev/null
+++ b/internal/process/follow/follow.go
@@ -0,0 +1,104 @@
+// Package follow keeps a copy of a table by listing it once and then asking for what has changed.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/table"
+)
+
+// Waits after failed calls: short at first, because a store that was away is wanted back at once, then longer.
+const (
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// News is what a call brought.
+type News struct {
+	table.Batch
+	// Whole says that Changes are all present rows, so that a row that is missing was deleted.
+	Whole bool
+	// Since is when the call was sent: what it brought is at least as new as that.
+	Since clock.Reading
+}
+
+// Config says which table is followed.
+type Config struct {
+	Feed table.Feed
+	// Table is the first part of the keys.
+	Table string
+	// Wait is how long a call waits for changes.
+	Wait time.Duration
+	// Apply takes the news; it is called by one goroutine, in the order of the table's history.
+	Apply func(News)
+	// Failed is told of each failed call; nil means that nobody is.
+	Failed func(error)
+	// Now reads the clock; nil means clock.Boot.
+	Now func() clock.Reading
+}
+
+// Run follows the table until the context is done.
+func Run(ctx context.Context, config Config) {
+	if config.Now == nil {
+		config.Now = clock.Boot
+	}
+	if config.Failed == nil {
+		config.Failed = func(error) {}
+	}
+	follower := follower{config: config}
+	retry := firstRetry
+	for ctx.Err() == nil {
+		if err := follower.step(ctx); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			config.Failed(err)
+			pause(ctx, retry)
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		retry = firstRetry
+	}
+}
+
+// follower is one copy's place in the table's history.
+type follower struct {
+	config Config
+	// revision is where the copy stands; meaningful only if listed.
+	revision table.Revision
+	listed   bool
+}
+
+// step makes one call and applies what it brought.
+func (f *follower) step(ctx context.Context) error {
+	news := News{Whole: !f.listed, Since: f.config.Now()}
+	var err error
+	if f.listed {
+		news.Batch, err = f.config.Feed.Changes(ctx, f.config.Table, f.revision, f.config.Wait)
+	} else {
+		news.Batch, err = f.config.Feed.List(ctx, f.config.Table)
+	}
+	if err != nil {
+		if errors.Is(err, table.ErrForgotten) {
+			f.listed = false
+		}
+		return err
+	}
+	f.revision, f.listed = news.Revision, true
+	f.config.Apply(news)
+	return nil
+}
+
+// pause waits for about the given time, spread so that processes do not come back in step.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait/2 + rand.N(wait)) //nolint:gosec // Spreads load only.
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/process/listener/guard.go
+++ b/internal/process/listener/guard.go
@@ -31,6 +31,7 @@
 // bounded is a socket whose connections give up on a write that is not taken.
 type bounded struct {
 	net.Listener
+	timeout time.Duration
 }
 
 // Accept implements net.Listener.
@@ -39,16 +40,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &boundedConn{Conn: conn}, nil
+	return &boundedConn{Conn: conn, timeout: b.timeout}, nil
 }
 
 type boundedConn struct {
 	net.Conn
+	timeout time.Duration
 }
 
 // Write implements net.Conn.
 func (c *boundedConn) Write(part []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(part)
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -29,6 +29,12 @@
 	Handler http.Handler
 	// TLS encrypts the connections; nil means that they are plain.
 	TLS *tls.Config
+	// Socket accepts the connections; nil means that Address is listened on.
+	Socket net.Listener
+	// IdleTimeout is how long a connection may stay unused; 0 means two minutes.
+	IdleTimeout time.Duration
+	// WriteTimeout bounds how long a caller may leave one write untaken; 0 means half a minute.
+	WriteTimeout time.Duration
 	// OnPanic is told of a request that panicked; nil means that nobody is.
 	OnPanic func(reason string)
 }
@@ -45,20 +51,29 @@
 
 // Start listens and serves until Close.
 func Start(ctx context.Context, config Config) (*Listener, error) {
-	var listen net.ListenConfig
-	socket, err := listen.Listen(ctx, "tcp", config.Address)
-	if err != nil {
-		return nil, oops.Wrapf(err, "listen on %s", config.Address)
+	socket := config.Socket
+	if socket == nil {
+		var listen net.ListenConfig
+		var err error
+		if socket, err = listen.Listen(ctx, "tcp", config.Address); err != nil {
+			return nil, oops.Wrapf(err, "listen on %s", config.Address)
+		}
+	}
+	if config.IdleTimeout == 0 {
+		config.IdleTimeout = idleTimeout
+	}
+	if config.WriteTimeout == 0 {
+		config.WriteTimeout = writeTimeout
 	}
 	l := &Listener{
 		server: &http.Server{
 			TLSConfig:         config.TLS,
 			ErrorLog:          log.New(io.Discard, "", 0),
 			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
+			IdleTimeout:       config.IdleTimeout,
 			MaxHeaderBytes:    maxHeader,
 		},
-		socket: bounded{Listener: socket},
+		socket: bounded{Listener: socket, timeout: config.WriteTimeout},
 		done:   make(chan struct{}),
 	}
 	l.server.Handler = l.closing(contain(config.Handler, config.OnPanic))
--- /dev/null
+++ b/internal/process/peers/peers.go
@@ -0,0 +1,260 @@
+// Package peers knows the other entries by rows that each writes into the store, and tells the true time by their clocks.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/table"
+	"vanillapond/internal/process/usage"
+	"vanillapond/pkg/ident"
+)
+
+// Name is the table of the entries' rows.
+const Name = "entries"
+
+// Times of the rows.
+const (
+	// minBeat is the time between two writes of a row; beatPerEntry lengthens it, so that a large fleet's writes and
+	// reads stay a small part of what the store bears.
+	minBeat      = time.Second
+	beatPerEntry = 70 * time.Millisecond
+	// readFactor is how many beats lie between two reads of all rows.
+	readFactor = 2
+	// lostBeats is how many beats a row stays unchanged before its entry counts as gone.
+	lostBeats = 4
+)
+
+// Row is what an entry says of itself.
+type Row struct {
+	Process     ident.Process     `json:"process"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// Address is where the entry hears datagrams of its peers.
+	Address netip.AddrPort `json:"address"`
+	// Beat changes with each write.
+	Beat int64 `json:"beat"`
+	// WallOffsetMS is the entry's time of day, in Unix milliseconds, less the store's steady clock.
+	WallOffsetMS int64 `json:"wall_offset_ms"`
+	// Leaving says that the entry is stopping.
+	Leaving bool `json:"leaving,omitempty"`
+	// Usage counts what began to run at the entry.
+	Usage usage.Counts `json:"usage,omitempty"`
+}
+
+// Check returns an error where a field breaks its invariant.
+func (r Row) Check() error {
+	if r.Process == "" || r.Incarnation == "" {
+		return oops.Errorf("row of an entry: found no process or incarnation")
+	}
+	if !r.Address.IsValid() {
+		return oops.Errorf("row of an entry: found no address")
+	}
+	return nil
+}
+
+// Config says who takes part.
+type Config struct {
+	Table       table.Table
+	Feed        table.Feed
+	Process     ident.Process
+	Incarnation ident.Incarnation
+	Address     netip.AddrPort
+	// Usage returns the counts to be written with the row.
+	Usage func() usage.Counts
+	// Log takes events.
+	Log func(event string, pairs ...any)
+	// Now and Wall read the clocks; nil means clock.Boot and time.Now.
+	Now  func() clock.Reading
+	Wall func() time.Time
+}
+
+// Peer is another entry that is alive.
+type Peer struct {
+	Process     ident.Process
+	Incarnation ident.Incarnation
+	Address     netip.AddrPort
+}
+
+// Registry knows the entries.
+type Registry struct {
+	config Config
+	mu     sync.Mutex
+	// seen holds each row's last revision and when it was first read; guarded by mu.
+	seen map[table.Key]sighting
+	// peers are the live entries besides this one; the list is never changed. Guarded by mu.
+	peers []Peer
+	// fleet is how many entries are alive, this one too; guarded by mu.
+	fleet int
+	// timeline tells true time; guarded by mu.
+	timeline timeline
+	beat     int64
+}
+
+type sighting struct {
+	revision table.Revision
+	at       clock.Reading
+	row      Row
+}
+
+// New returns a registry that knows no peers.
+func New(config Config) *Registry {
+	if config.Now == nil {
+		config.Now = clock.Boot
+	}
+	if config.Wall == nil {
+		config.Wall = time.Now
+	}
+	return &Registry{config: config, seen: make(map[table.Key]sighting), fleet: 1}
+}
+
+// Key returns the key of the entry's own row.
+func (r *Registry) Key() table.Key { return key(r.config.Incarnation) }
+
+func key(incarnation ident.Incarnation) table.Key { return table.Key(Name + "/" + string(incarnation)) }
+
+// Peers returns the live entries besides this one; the list must not be changed.
+func (r *Registry) Peers() []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peers
+}
+
+// Fleet returns how many entries are alive, this one too.
+func (r *Registry) Fleet() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet
+}
+
+// Beat returns the time between two writes of the row.
+func (r *Registry) Beat() time.Duration {
+	return max(minBeat, time.Duration(r.Fleet())*beatPerEntry)
+}
+
+// Run writes the own row and reads all rows until the context is done.
+func (r *Registry) Run(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		if round%readFactor == 0 {
+			if _, err := r.Read(ctx); err != nil {
+				r.config.Log("entries_unread", "err", err)
+			}
+		}
+		if err := r.Write(ctx, false); err != nil && ctx.Err() == nil {
+			r.config.Log("entry_unwritten", "err", err)
+		}
+		beat := r.Beat()
+		timer := time.NewTimer(beat - beat/8 + rand.N(beat/4)) //nolint:gosec // Spreads load only.
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// Write puts the own row into the store.
+func (r *Registry) Write(ctx context.Context, leaving bool) error {
+	r.mu.Lock()
+	r.beat++
+	row := Row{
+		Process: r.config.Process, Incarnation: r.config.Incarnation, Address: r.config.Address, Beat: r.beat,
+		WallOffsetMS: r.timeline.ownOffset.Milliseconds(), Leaving: leaving,
+	}
+	r.mu.Unlock()
+	row.Usage = r.config.Usage()
+	value, err := json.Marshal(row)
+	if err != nil {
+		return oops.Wrapf(err, "encode row of entry")
+	}
+	return r.config.Table.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: r.Key(), Value: value}}})
+}
+
+// Read reads all rows and returns them; rows that cannot be decoded are logged and passed over.
+func (r *Registry) Read(ctx context.Context) (map[table.Key]Row, error) {
+	before := r.config.Now()
+	batch, err := r.config.Feed.List(ctx, Name)
+	if err != nil {
+		return nil, err
+	}
+	now := r.config.Now()
+	rows := make(map[table.Key]Row, len(batch.Changes))
+	revisions := make(map[table.Key]table.Revision, len(batch.Changes))
+	for _, change := range batch.Changes {
+		var row Row
+		if err := json.Unmarshal(change.Value, &row); err != nil {
+			r.config.Log("entry_row_unreadable", "key", change.Key, "err", err)
+			continue
+		}
+		if err := row.Check(); err != nil {
+			r.config.Log("entry_row_unreadable", "key", change.Key, "err", err)
+			continue
+		}
+		rows[change.Key] = row
+		revisions[change.Key] = change.Revision
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timeline.read(now, now.Sub(before)/2, batch.ServiceTime, r.config.Wall())
+	r.learn(now, rows, revisions)
+	return rows, nil
+}
+
+// learn takes over rows; the caller holds mu.
+func (r *Registry) learn(now clock.Reading, rows map[table.Key]Row, revisions map[table.Key]table.Revision) {
+	for key := range r.seen {
+		if _, found := rows[key]; !found {
+			delete(r.seen, key)
+		}
+	}
+	limit := lostBeats * max(minBeat, time.Duration(r.fleet)*beatPerEntry)
+	var peers []Peer
+	var offsets []int64
+	for key, row := range rows {
+		known, found := r.seen[key]
+		if !found || known.revision != revisions[key] {
+			known = sighting{revision: revisions[key], at: now, row: row}
+			r.seen[key] = known
+		}
+		if row.WallOffsetMS != 0 {
+			offsets = append(offsets, row.WallOffsetMS)
+		}
+		if row.Incarnation == r.config.Incarnation || row.Leaving || now.Sub(known.at) > limit {
+			continue
+		}
+		peers = append(peers, Peer{Process: row.Process, Incarnation: row.Incarnation, Address: row.Address})
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(string(a.Incarnation), string(b.Incarnation)) })
+	if !slices.Equal(peers, r.peers) {
+		r.config.Log("entries_changed", "entries", len(peers)+1, "before", r.fleet)
+	}
+	r.peers = peers
+	r.fleet = len(peers) + 1
+	r.timeline.agree(offsets)
+}
+
+// Idle returns how long a row has been unchanged, as far as this process has seen.
+func (r *Registry) Idle(key table.Key) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.seen[key]
+	if !found {
+		return 0
+	}
+	return r.config.Now().Sub(known.at)
+}
+
+// TrueTime returns the time of day that most entries agree on.
+func (r *Registry) TrueTime() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.timeline.at(r.config.Now(), r.config.Wall())
+}
--- /dev/null
+++ b/internal/process/usage/reporter.go
@@ -0,0 +1,186 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/lease"
+	"vanillapond/internal/process/table"
+	"vanillapond/pkg/ident"
+)
+
+// frozenTable holds one row a window with the figures that are reported, which never change.
+const frozenTable = "usage"
+
+// keptFrozen is how many windows a frozen row stays after it was reported: longer than any holder may still send it.
+const keptFrozen = 4 * keptWindows
+
+// Times of a report.
+const (
+	// settleBeats is how many beats after a window's end its figures are taken, so that each entry has written them.
+	settleBeats = 2
+	// lookInterval is the time between two looks for windows that are due.
+	lookInterval = 500 * time.Millisecond
+	// sendTimeout bounds one call; it is also how long the lease must last when the call is made.
+	sendTimeout = time.Second
+)
+
+// Lease says whether this process is in charge of the reports.
+type Lease interface {
+	Check(now clock.Reading, guard time.Duration) (lease.Grant, error)
+	Condition(grant lease.Grant) (table.Check, error)
+	Now() clock.Reading
+}
+
+// Reports takes finished windows.
+type Reports interface {
+	// Send gives the figures of a window to the platform; an exact repeat has no further effect.
+	Send(ctx context.Context, fence ident.Fence, window Window, counts map[ident.Customer]int64, timeout time.Duration) error
+}
+
+// ReporterConfig says what a reporter works with.
+type ReporterConfig struct {
+	Table   table.Table
+	Lease   Lease
+	Reports Reports
+	// Gather reads the counts of all entries.
+	Gather func(ctx context.Context) ([]Counts, error)
+	// Beat returns how often entries write their counts.
+	Beat func() time.Duration
+	// Length is that of a window, and Late how long after its end the report is due.
+	Length time.Duration
+	Late   time.Duration
+	// Now tells true time.
+	Now func() time.Time
+	Log func(event string, pairs ...any)
+}
+
+// Reporter freezes and sends the windows while the lease is held.
+type Reporter struct {
+	config ReporterConfig
+	// sent is the last window that was sent in this term; windows before it are done.
+	sent Window
+	// fence is of the term that sent belongs to.
+	fence ident.Fence
+}
+
+// NewReporter returns a reporter.
+func NewReporter(config ReporterConfig) *Reporter { return &Reporter{config: config} }
+
+// Run reports windows until the context is done.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if err := r.Step(ctx); err != nil && ctx.Err() == nil {
+				r.config.Log("usage_report_failed", "err", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Step reports the oldest window that is due, if the lease is held.
+func (r *Reporter) Step(ctx context.Context) error {
+	grant, err := r.config.Lease.Check(r.config.Lease.Now(), sendTimeout)
+	if errors.Is(err, lease.ErrNotHeld) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	now := r.config.Now()
+	due := WindowAt(now.Add(-settleBeats*r.config.Beat()), r.config.Length) - 1
+	if r.fence != grant.Fence {
+		// A predecessor may have left the windows of its last moments open.
+		r.fence = grant.Fence
+		r.sent = due - Window(r.config.Late/r.config.Length) - 1
+	}
+	if r.sent >= due {
+		return nil
+	}
+	window := r.sent + 1
+	if due-window > keptWindows {
+		// Nobody keeps the counts of older windows any more.
+		window = due - keptWindows
+		r.config.Log("usage_windows_lost", "from", r.sent+1, "to", window-1)
+	}
+	counts, err := r.freeze(ctx, grant, window)
+	if err != nil {
+		return err
+	}
+	if _, err := r.config.Lease.Check(r.config.Lease.Now(), sendTimeout); err != nil {
+		return err
+	}
+	if err := r.config.Reports.Send(ctx, grant.Fence, window, counts, sendTimeout); err != nil {
+		return oops.Wrapf(err, "window %d", window)
+	}
+	r.config.Log("usage_reported", "window", window, "fence", grant.Fence, "customers", len(counts),
+		"after_ms", now.Sub(window.End(r.config.Length)).Milliseconds())
+	r.sent = window
+	return nil
+}
+
+// freeze returns the figures of a window, which are the same for whoever asks, whenever.
+func (r *Reporter) freeze(ctx context.Context, grant lease.Grant, window Window) (map[ident.Customer]int64, error) {
+	key := frozenKey(window)
+	rows, err := r.config.Table.Read(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if rows[0].Revision != 0 {
+		var frozen map[ident.Customer]int64
+		if err := json.Unmarshal(rows[0].Value, &frozen); err != nil {
+			return nil, oops.Wrapf(err, "decode %s", key)
+		}
+		return frozen, nil
+	}
+	counts, err := r.sum(ctx, window)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return nil, oops.Wrapf(err, "encode %s", key)
+	}
+	held, err := r.config.Lease.Condition(grant)
+	if err != nil {
+		return nil, err
+	}
+	transaction := table.Transaction{
+		Checks: []table.Check{{Key: key}, held},
+		Writes: []table.Write{{Key: key, Value: value}, {Key: frozenKey(window - keptFrozen), Delete: true}},
+	}
+	if err := r.config.Table.Commit(ctx, transaction); err != nil {
+		// Whether it was written shows when the row is read again.
+		return nil, oops.Wrapf(err, "freeze window %d", window)
+	}
+	return counts, nil
+}
+
+func frozenKey(window Window) table.Key {
+	return table.Key(frozenTable + "/" + strconv.FormatInt(int64(window), 10))
+}
+
+func (r *Reporter) sum(ctx context.Context, window Window) (map[ident.Customer]int64, error) {
+	all, err := r.config.Gather(ctx)
+	if err != nil {
+		return nil, err
+	}
+	total := make(map[ident.Customer]int64)
+	for _, counts := range all {
+		for customer, count := range counts[window] {
+			total[customer] += count
+		}
+	}
+	return total, nil
+}
--- /dev/null
+++ b/internal/role/router/loops.go
@@ -0,0 +1,222 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vanillapond/internal/connection/direct"
+	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/follow"
+	"vanillapond/internal/process/journal"
+	"vanillapond/internal/process/table"
+	"vanillapond/internal/process/usage"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+// state is whether the process wants new connections, and whether its dependencies answer.
+type state struct {
+	journal *journal.Journal
+	leaving atomic.Bool
+	mu      sync.Mutex
+	// lost says that the store's last call failed; guarded by mu.
+	lost bool
+	// ready is the last answer to the balancer; guarded by mu.
+	ready bool
+}
+
+func (s *state) leave() { s.leaving.Store(true) }
+
+// run starts the loops.
+func (r *Router) run(ctx context.Context) {
+	loops := []func(context.Context){
+		func(ctx context.Context) {
+			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.OperatorTable, Wait: configWait, Apply: r.applyConfiguration, Failed: r.unread(platform.OperatorTable)})
+		},
+		func(ctx context.Context) {
+			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.ServersTable, Wait: serversWait, Apply: r.applyServers, Failed: r.unread(platform.ServersTable)})
+		},
+		r.peers.Run, r.sweep, r.gossip.listen, r.gossip.tell,
+	}
+	for _, loop := range loops {
+		r.loops.Go(func() { loop(ctx) })
+	}
+	duties, cancel := context.WithCancel(ctx)
+	r.cancelDuties = cancel
+	reporter := usage.NewReporter(usage.ReporterConfig{
+		Table: r.store, Lease: r.lease, Gather: r.gatherUsage, Beat: r.peers.Beat, Length: r.settings.Bounds.UsageWindow,
+		Late: r.settings.Bounds.UsageLate, Now: r.peers.TrueTime, Log: r.journal.Log,
+		Reports: reports{duties: platform.NewDuties(platform.DutiesConfig{Address: r.settings.Duties.Address, Process: r.settings.Process})},
+	})
+	r.duties.Go(func() { r.lease.Run(duties) })
+	r.duties.Go(func() { reporter.Run(duties) })
+}
+
+// unread logs a failed call that follows a table.
+func (r *Router) unread(name string) func(error) {
+	return func(err error) {
+		r.servers.Disturbed()
+		r.journal.Log("feed_failed", "table", name, "config_age", r.configAge(), "err", err)
+	}
+}
+
+// applyConfiguration takes over a version, and confirms the known one where nothing newer is there.
+func (r *Router) applyConfiguration(news follow.News) {
+	for _, change := range news.Changes {
+		if change.Key != platform.OperatorTable+"/"+platform.ConfigurationKey || change.Deleted {
+			continue
+		}
+		configuration, err := platform.DecodeConfiguration(change.Value)
+		if err != nil {
+			r.journal.Log("configuration_unreadable", "revision", change.Revision, "kept", r.current.Version(), "err", err)
+			return
+		}
+		before := r.current.Version()
+		switch {
+		case r.current.Advance(configuration):
+			r.journal.Log("configuration", "version", configuration.Version, "before", before, "routes", len(configuration.Routes),
+				"services", len(configuration.Services), "customers", len(configuration.Customers), "revision", change.Revision)
+		case configuration.Version < before:
+			r.journal.Log("configuration_older", "version", configuration.Version, "kept", before, "revision", change.Revision)
+			return
+		}
+	}
+	r.current.Confirm(news.Since, news.Revision)
+}
+
+// applyServers takes over servers' entries; one that cannot be read names no server to use.
+func (r *Router) applyServers(news follow.News) {
+	var present []platform.Server
+	var removed []ident.Endpoint
+	for _, change := range news.Changes {
+		id := ident.Endpoint(strings.TrimPrefix(string(change.Key), platform.ServersTable+"/"))
+		if change.Deleted {
+			removed = append(removed, id)
+			continue
+		}
+		server, err := platform.DecodeServer(id, change.Value)
+		if err != nil {
+			r.journal.Log("server_unreadable", "server", id, "revision", change.Revision, "err", err)
+			removed = append(removed, id)
+			continue
+		}
+		present = append(present, server)
+	}
+	r.logServers(r.servers.Update(present, removed, news.Whole))
+}
+
+func (r *Router) logServers(events []servers.Event) {
+	known, ready := r.servers.Counts()
+	for _, event := range events {
+		r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
+			"domain", event.Server.Domain, "state", event.Server.State, "known", known, "ready", ready)
+	}
+}
+
+// sweep forgets what is over.
+func (r *Router) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.logServers(r.servers.Sweep())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// newPool returns the connections to a server, of which every entry has its part.
+func (r *Router) newPool(server platform.Server) *direct.Pool {
+	limit := func() int {
+		known := r.current.Table()
+		if known == nil {
+			return minConnections
+		}
+		service := known.Service(server.Service)
+		if service == nil || service.MaxConnections <= 0 {
+			return minConnections
+		}
+		return max(int(connectionShare*float64(service.MaxConnections))/r.peers.Fleet(), minConnections)
+	}
+	return direct.New(direct.Config{Address: server.Address, Limit: limit, DialTimeout: dialTimeout, OnDial: r.metrics.dialed})
+}
+
+// gatherUsage reads what all entries have counted, and removes rows of entries that have long ended.
+func (r *Router) gatherUsage(ctx context.Context) ([]usage.Counts, error) {
+	rows, err := r.peers.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	counts := make([]usage.Counts, 0, len(rows))
+	var ended []table.Write
+	for key, row := range rows {
+		counts = append(counts, row.Usage)
+		if key != r.peers.Key() && r.peers.Idle(key) > usage.KeptTime(r.settings.Bounds.UsageWindow) {
+			ended = append(ended, table.Write{Key: key, Delete: true})
+		}
+	}
+	if len(ended) > 0 {
+		if err := r.store.Commit(ctx, table.Transaction{Writes: ended}); err != nil {
+			r.journal.Log("ended_entries_not_removed", "entries", len(ended), "err", err)
+		}
+	}
+	return counts, nil
+}
+
+// reports sends finished windows to the platform.
+type reports struct{ duties *platform.Duties }
+
+// Send implements usage.Reports.
+func (s reports) Send(ctx context.Context, fence ident.Fence, window usage.Window, counts map[ident.Customer]int64, timeout time.Duration) error {
+	return s.duties.ReportUsage(ctx, fence, platform.UsageReport{Window: int64(window), Started: counts}, timeout)
+}
+
+// answerReady tells the balancer whether the process wants new connections.
+func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
+	reason := ""
+	switch age := r.configAge(); {
+	case r.state.leaving.Load():
+		reason = "leaving"
+	case r.current.Table() == nil:
+		reason = "no configuration yet"
+	case !r.servers.Listed():
+		reason = "no list of servers yet"
+	case age > unreadyAge:
+		reason = "configuration is old"
+	}
+	r.state.mu.Lock()
+	if ready := reason == ""; ready != r.state.ready {
+		r.state.ready = ready
+		r.journal.Log("readiness", "ready", ready, "reason", reason, "config_age", r.configAge())
+	}
+	r.state.mu.Unlock()
+	if reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// observeStore counts a call and tells when the store is lost and regained.
+func (r *Router) observeStore(call string, err error) {
+	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrForgotten)
+	r.metrics.storeCall(call, err)
+	r.state.mu.Lock()
+	changed := r.state.lost == answered
+	r.state.lost = !answered
+	r.state.mu.Unlock()
+	switch {
+	case !changed:
+	case answered:
+		r.journal.Log("store_regained", "call", call)
+	default:
+		r.journal.Log("store_lost", "call", call, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/role/router/router.go
@@ -0,0 +1,235 @@
+// Package router assembles the process that takes callers' requests straight to servers on the users' platform.
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/oops"
+
+	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/connection/socket"
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/journal"
+	"vanillapond/internal/process/lease"
+	"vanillapond/internal/process/listener"
+	"vanillapond/internal/process/peers"
+	"vanillapond/internal/process/usage"
+	"vanillapond/internal/request/forward"
+	"vanillapond/internal/request/placement"
+	"vanillapond/internal/request/repeat"
+	"vanillapond/internal/version/routes"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+// Config says what a router runs with.
+type Config struct {
+	Settings platform.Settings
+	// Log gets the log lines.
+	Log io.Writer
+	// MetricsPort is where the counters are served; 0 means nowhere.
+	MetricsPort int
+	// Build is the version of the program, for the log.
+	Build string
+}
+
+// Router is a running process.
+type Router struct {
+	settings platform.Settings
+	journal  *journal.Journal
+	metrics  *metrics
+	store    *platform.Store
+	current  *routes.Current
+	servers  *servers.Registry
+	peers    *peers.Registry
+	suspects *forward.SuspectList
+	counter  *usage.Counter
+	lease    *lease.Lease
+	callers  *listener.Listener
+	ready    *listener.Listener
+	exposed  *listener.Listener
+	gossip   *gossip
+	state    state
+	// cancel ends the loops, and loops waits for them.
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+	// cancelDuties ends the loops of the duty alone.
+	cancelDuties context.CancelFunc
+	duties       sync.WaitGroup
+	mu           sync.Mutex
+	// boards and budgets are by service; guarded by mu.
+	boards  map[ident.Pool]*placement.Board
+	budgets map[ident.Pool]*repeat.Budget
+}
+
+// memoryShare is the part of the memory limit that the heap may fill before collection becomes eager.
+const memoryShare = 0.6
+
+// Start runs a router until Stop.
+func Start(ctx context.Context, config Config) (*Router, error) {
+	settings := config.Settings
+	if settings.CallersAddress == "" || settings.ReadyAddress == "" {
+		return nil, oops.Errorf("settings of %s: found no addresses for callers and readiness", settings.Process)
+	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
+	}
+	r := &Router{
+		settings: settings, current: &routes.Current{}, suspects: forward.NewSuspectList(),
+		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
+	}
+	r.metrics = newMetrics(r)
+	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.dropped})
+	incarnation := ident.Incarnation(ulid.Make().String())
+	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
+		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
+		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
+	if err := r.assemble(ctx, config, incarnation); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) assemble(ctx context.Context, config Config, incarnation ident.Incarnation) error {
+	settings := r.settings
+	r.state.journal = r.journal
+	r.store = platform.NewStore(platform.StoreConfig{
+		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStore,
+	})
+	r.servers = servers.New(servers.Config{NewPool: r.newPool, ReturnTime: returnTime})
+	address, err := netip.ParseAddr(settings.Address)
+	if err != nil {
+		return oops.Wrapf(err, "address of %s", settings.Process)
+	}
+	r.peers = peers.New(peers.Config{
+		Table: r.store, Feed: r.store, Process: settings.Process, Incarnation: incarnation,
+		Address: netip.AddrPortFrom(address, settings.PeerPort), Usage: func() usage.Counts { return r.counter.Counts() }, Log: r.journal.Log,
+	})
+	r.counter = usage.NewCounter(settings.Bounds.UsageWindow, r.peers.TrueTime)
+	r.lease = lease.New(lease.Config{
+		Table: r.store, Name: dutyLease, Process: settings.Process, Incarnation: incarnation, Term: settings.Bounds.LeaseTerm, Place: r.place,
+	})
+	if r.gossip, err = newGossip(ctx, r); err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	r.cancel = cancel
+	r.run(running)
+	return r.listen(ctx, config)
+}
+
+// listen opens the sockets; callers come last.
+func (r *Router) listen(ctx context.Context, config Config) error {
+	panicked := func(reason string) { r.journal.Log("panic", "reason", reason) }
+	var err error
+	if config.MetricsPort != 0 {
+		address := r.settings.Address + ":" + strconv.Itoa(config.MetricsPort)
+		if r.exposed, err = listener.Start(ctx, listener.Config{Address: address, Handler: r.metrics.handler(), OnPanic: panicked}); err != nil {
+			r.journal.Log("metrics_unavailable", "address", address, "err", err)
+		}
+	}
+	handler := http.HandlerFunc(r.answerReady)
+	if r.ready, err = listener.Start(ctx, listener.Config{Address: r.settings.ReadyAddress, Handler: handler, OnPanic: panicked}); err != nil {
+		return err
+	}
+	accepting, err := socket.Listen(ctx, r.settings.CallersAddress)
+	if err != nil {
+		return oops.Wrapf(err, "listen on %s", r.settings.CallersAddress)
+	}
+	r.callers, err = listener.Start(ctx, listener.Config{
+		Socket: accepting, Handler: r.forwarder(), OnPanic: panicked, WriteTimeout: callerWriteTimeout,
+	})
+	return err
+}
+
+func (r *Router) forwarder() http.Handler {
+	bounds := r.settings.Bounds
+	return forward.New(forward.Config{
+		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Budget: r.budget,
+		Suspects: r.suspects, Usage: r.counter, Observe: r.observe,
+		KeyAge:  time.Duration(keyShare * float64(bounds.Revoke)),
+		DenyAge: bounds.ConfigApply,
+	})
+}
+
+func (r *Router) board(service ident.Pool) *placement.Board {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	board := r.boards[service]
+	if board == nil {
+		board = placement.New(uint64(time.Now().UnixNano())) //nolint:gosec // Any seed does.
+		r.boards[service] = board
+	}
+	return board
+}
+
+func (r *Router) budget(service ident.Pool) *repeat.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget := r.budgets[service]
+	if budget == nil {
+		bounds := r.settings.Bounds
+		budget = repeat.New(repeat.Config{
+			Ratio: repeatShare * bounds.RetryRatio, Extra: repeatShare * bounds.RetryExtra, Window: bounds.RetryWindow, Entries: r.peers.Fleet,
+		})
+		r.budgets[service] = budget
+	}
+	return budget
+}
+
+// place ranks the entry among those that may hold the duty.
+func (r *Router) place() lease.Place {
+	members := []ident.Process{r.settings.Process}
+	for _, peer := range r.peers.Peers() {
+		members = append(members, peer.Process)
+	}
+	return lease.Rank(dutyLease, r.settings.Process, members)
+}
+
+// Stop ends the process without cutting a request that ends within the grace time.
+func (r *Router) Stop(ctx context.Context) {
+	began := time.Now()
+	grace := r.settings.Bounds.Grace
+	r.journal.Log("stopping", "grace", grace)
+	r.state.leave()
+	r.callers.Leave()
+	r.cancelDuties()
+	r.duties.Wait()
+	released, cancel := context.WithTimeout(ctx, storeTimeout)
+	if err := r.lease.Release(released); err != nil {
+		r.journal.Log("lease_not_released", "err", err)
+	}
+	cancel()
+	sleep(ctx, time.Until(began.Add(acceptTime)))
+	draining, cancel := context.WithDeadline(ctx, began.Add(grace-stopReserve))
+	r.callers.Drain(draining)
+	cancel()
+	last, cancel := context.WithDeadline(ctx, began.Add(grace-stopReserve/2))
+	if err := r.peers.Write(last, true); err != nil {
+		r.journal.Log("entry_unwritten", "err", err)
+	}
+	cancel()
+	r.cancel()
+	r.journal.Log("stopped", "took", time.Since(began))
+	r.journal.Close(journalTimeout)
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// configAge returns how old the knowledge of the configuration is.
+func (r *Router) configAge() time.Duration { return r.current.Age(clock.Boot()) }
--- /dev/null
+++ b/internal/role/router/times.go
@@ -0,0 +1,41 @@
+package router
+
+import "time"
+
+// Times and shares of a router; bounds that the operator has promised come from the settings.
+const (
+	// storeTimeout bounds a call to the store: some hundred times its usual answer, so that a slow one still comes.
+	storeTimeout = 1200 * time.Millisecond
+	// configWait is how long a question for a new configuration waits; it is also how old the knowledge may grow while
+	// all is well, so that it stays well below the time in which a withdrawn key must stop working.
+	configWait = 1200 * time.Millisecond
+	// serversWait is how long a question for changed servers waits; changes come at once.
+	serversWait = 5 * time.Second
+	// returnTime is how long servers have to enter themselves again after the store was away, with a little room.
+	returnTime = 2300 * time.Millisecond
+	// sweepInterval is the time between two looks for lapsed servers and idle connections.
+	sweepInterval = 500 * time.Millisecond
+	// keyShare is the part of the time in which a withdrawn key must stop working during which old knowledge is trusted.
+	keyShare = 0.8
+	// repeatShare is the part of the budget of repeats that entries use, so that their counts need not agree exactly.
+	repeatShare = 0.8
+	// connectionShare is the part of a server's connections that entries use, so that a new entry finds some free.
+	connectionShare = 0.8
+	// minConnections is the least number of connections to a server, whatever the fleet's size.
+	minConnections = 2
+	// dialTimeout bounds a new connection to a server.
+	dialTimeout = 500 * time.Millisecond
+	// callerWriteTimeout bounds how long a caller may leave bytes untaken.
+	callerWriteTimeout = 5 * time.Second
+	// acceptTime is how long a stopping process takes new connections: until the balancer has asked twice, once a second.
+	acceptTime = 3 * time.Second
+	// stopReserve is the end of the grace time in which nothing is waited for any more.
+	stopReserve = 600 * time.Millisecond
+	// journalTimeout bounds the writing of the last log lines.
+	journalTimeout = 100 * time.Millisecond
+	// unreadyAge is how old the knowledge of the configuration is when a process asks for no new connections.
+	unreadyAge = 2500 * time.Millisecond
+)
+
+// dutyLease names the lease of the process that reports usage.
+const dutyLease = "usage"
