Keep quiet engines for streams with short pauses, agree on homes of prompts, name incarnations by process

Ruled out: lost writes of the lease row (revisions and conditions were right); engines too slow (p50 44 ms). Change: ident.NewIncarnation; placement in shares of credit with quiet engines and rendezvous homes; rank by customer, then route.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -79,7 +79,7 @@
 	Route    string
 	Service  ident.Pool
 	Customer ident.Customer
-	Tier     ident.Tier
+	Rank     routes.Rank
 	Version  ident.Version
 	// ConfigAge is how old the knowledge of the version was when the request was admitted.
 	ConfigAge time.Duration
@@ -178,7 +178,7 @@
 	}
 	c.bound()
 	c.describe()
-	c.record.Tier = routes.Tier(c.route, c.customer)
+	c.record.Rank = known.Rank(c.route, c.customer)
 	if c.customer != nil {
 		c.record.Customer = c.customer.Name
 	}
@@ -324,5 +324,5 @@
 
 // urgency returns the rank of the request at an engine.
 func (c *call) urgency() string {
-	return strconv.Itoa(min(max(int(c.record.Tier), platform.MostUrgent), platform.LeastUrgent))
+	return strconv.Itoa(min(max(int(c.record.Rank), platform.MostUrgent), platform.LeastUrgent))
 }
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -6,56 +6,91 @@
 	"vanillapond/pkg/ident"
 )
 
-// Weights of the costs at an engine, in milliseconds.
+// Costs at an engine.
 const (
-	// harmCost is what each running stream adds that a long prompt beside it makes late.
-	harmCost = 60
-	// exposeCost is what a paced stream adds for each millisecond of prompts that are being read where it would run.
-	exposeCost = 1.5
+	// waitCost is what a wait as long as the objective adds; lateCost is what each further objective adds from lateFrom
+	// on, because the estimate is rough.
+	waitCost = 0.15
+	lateCost = 2.5
+	lateFrom = 0.7
+	// rereadCost is what 1,000 shared tokens add that the engine has to read although another one holds them.
+	rereadCost = 0.1
+	// stallCost is what each running paced stream adds that the prompt would make late, and brushCost what it adds for
+	// each millisecond of reading beside it that would not yet.
+	stallCost = 0.5
+	brushCost = 0.0006
+	// loudCost keeps paced streams off the engines of long prompts, and intrudeCost long prompts off the kept engines.
+	loudCost    = 0.5
+	intrudeCost = 0.6
 	// memoryCost is added where the memory is all taken, and a growing part of it from memoryFrom on.
-	memoryCost = 1500
+	memoryCost = 1.5
 	memoryFrom = 0.6
-	// activeCost is what each running request adds to every step.
-	activeCost = 0.4
+	// slotsCost is added where all slots are taken, and a growing part of it from slotsFrom on.
+	slotsCost = 1.0
+	slotsFrom = 0.6
+	// activeCost is what each running request adds, so that like engines share the load.
+	activeCost = 0.002
 	// farEngineCost is the round trip to another failure domain, with its bytes.
-	farEngineCost = 3
+	farEngineCost = 0.004
 )
 
-// weighEngine adds the expected time to the first event and the harm to what already runs there.
+// weighEngine adds the expected wait for the first event, what is read again, and the harm to what already runs there.
 //
 // Load pattern: engines read long prompts in chunks between the events of running streams, so a long prompt beside
 // streams with short pauses makes all of them late; a prompt of which the first parts are cached costs little.
-func (b *Board) weighEngine(now time.Time, query Query, candidate Candidate, choice *Choice) {
-	cached := b.server(candidate.ID).cache.held(now, query.Parts)
-	choice.Uncached = max(query.Prompt-cached, 1)
+func (b *Board) weighEngine(now time.Time, query Query, each *option, choice *Choice) {
+	shared := sharedTokens(query.Parts)
+	held := min(b.heldAt(now, query, each, shared), query.Prompt)
+	choice.Uncached = max(query.Prompt-held, 1)
 	pending := b.speed.reading(choice.Work.Prefill)
 	reading := b.speed.reading(choice.Uncached)
 	choice.Wait = pending + reading + b.speed.base()
-	cost := milliseconds(choice.Wait) + activeCost*float64(choice.Work.Active)
-	if !candidate.Near {
+	cost := waitingCost(choice.Wait, query.Objective)
+	cost += rereadCost * float64(max(shared-held, 0)) / 1000
+	cost += activeCost * float64(choice.Work.Active)
+	if !each.Near {
 		cost += farEngineCost
 	}
-	if b.speed.stalls(pending + reading) {
-		cost += harmCost * float64(choice.Work.Paced)
+	if paced := float64(choice.Work.Paced); b.speed.stalls(pending + reading) {
+		cost += stallCost * paced
+	} else {
+		cost += brushCost * paced * milliseconds(reading)
 	}
-	if b.speed.fragile(query.MaxPause) {
-		cost += exposeCost * milliseconds(pending)
+	switch fragile := b.speed.fragile(query.MaxPause); {
+	case fragile && !each.quiet:
+		cost += loudCost
+	case !fragile && each.quiet && b.speed.loud(reading):
+		cost += intrudeCost
 	}
-	cost += memoryPressure(choice.Work.Memory+query.Prompt+query.Output, candidate.Memory)
+	cost += pressure(float64(choice.Work.Memory+query.Prompt+query.Output), float64(each.Memory), memoryFrom, memoryCost)
+	cost += pressure(float64(choice.Work.Active), float64(each.Slots), slotsFrom, slotsCost)
 	choice.Cost = cost
 }
 
-// memoryPressure grows from nothing to memoryCost as the memory fills, and on above that.
-func memoryPressure(taken, whole ident.Tokens) float64 {
-	if whole <= 0 {
-		return 0
+// waitingCost grows slowly up to the objective and steeply near and after it.
+func waitingCost(wait, objective time.Duration) float64 {
+	if objective <= 0 {
+		objective = time.Second
 	}
-	share := float64(taken) / float64(whole)
-	if share <= memoryFrom {
+	share := float64(wait) / float64(objective)
+	return waitCost*share + lateCost*max(share-lateFrom, 0)
+}
+
+// pressure grows from nothing to its cost as a resource fills, and on above that.
+func pressure(taken, whole, from, cost float64) float64 {
+	if whole <= 0 || taken/whole <= from {
 		return 0
 	}
-	over := (share - memoryFrom) / (1 - memoryFrom)
-	return memoryCost * over * over
+	over := (taken/whole - from) / (1 - from)
+	return cost * over * over
+}
+
+func sharedTokens(parts []Part) ident.Tokens {
+	var shared ident.Tokens
+	for _, part := range parts {
+		shared += part.Tokens
+	}
+	return shared
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/request/placement/health.go
+++ b/internal/request/placement/health.go
@@ -11,15 +11,15 @@
 	fullOut = 150 * time.Millisecond
 	// failureWeight is the weight of the newest result in the share of failures.
 	failureWeight = 0.1
-	// failureCost is added for a server all of whose requests fail, in milliseconds.
-	failureCost = 600
+	// failureCost is added for a server all of whose requests fail.
+	failureCost = 1.5
 	// toleratedFailures is a share that plain mistakes of callers may reach.
 	toleratedFailures = 0.25
 	// overdueFactor and overdueFloor say when a request without an answer casts doubt on its server.
 	overdueFactor = 3
 	overdueFloor  = 400 * time.Millisecond
-	// overdueCost is added for each overdue request, in milliseconds.
-	overdueCost = 300
+	// overdueCost is added for each overdue request.
+	overdueCost = 0.3
 )
 
 // health is what the ends of requests tell of a server.
--- a/internal/request/placement/plain.go
+++ b/internal/request/placement/plain.go
@@ -1,25 +1,26 @@
 package placement
 
-// Costs of a plain server, in milliseconds.
+// Costs of a plain server.
 const (
-	// farCost is the round trip to another failure domain that a near server saves, with its bytes.
-	farCost = 4
-	// fullCost makes a server with all slots taken the last choice.
-	fullCost = 60
+	// takenCost is what a server with all slots taken adds; half taken, it adds a quarter of that.
+	takenCost = 0.2
+	// fullCost makes a server with more requests than slots the last choice.
+	fullCost = 1
+	// farCost is the round trip to another failure domain, with its bytes.
+	farCost = 0.04
 )
 
 // weighPlain prefers a near server until it is half full, then the least taken one.
 //
 // Load pattern: short requests with like work, far fewer than the slots on most days; a server slows down when it is
 // nearly full, and some callers come in bursts.
-func weighPlain(candidate Candidate, choice *Choice) {
-	slots := float64(max(candidate.Slots, 1))
-	taken := float64(choice.Work.Active) / slots
-	choice.Cost = taken * taken * farCost * 4
+func weighPlain(each *option, choice *Choice) {
+	taken := float64(choice.Work.Active) / float64(max(each.Slots, 1))
+	choice.Cost = takenCost * taken * taken
 	if taken >= 1 {
 		choice.Cost += fullCost * taken
 	}
-	if !candidate.Near {
+	if !each.Near {
 		choice.Cost += farCost
 	}
 }
--- /dev/null
+++ b/internal/request/placement/quiet.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// How many engines are kept for streams with short pauses.
+const (
+	// quietLoad is the part of an engine's slots that paced streams fill before another engine is kept for them.
+	quietLoad = 0.5
+	// quietRoom is how many more paced streams are made room for than run: they come in bursts.
+	quietRoom = 1.3
+	// minQuiet engines are kept so that the loss of one leaves another.
+	minQuiet = 2
+	// maxQuietShare is the part of all engines that may be kept.
+	maxQuietShare = 0.5
+	// shrinkAfter is how long fewer engines must be enough before one is given back: hysteresis, because streams that
+	// already run stay where they are.
+	shrinkAfter = 4 * time.Second
+)
+
+// quiet is how many engines are kept for paced streams.
+//
+// Load pattern: streams of short prompts with short pauses beside prompts that take several steps to read. Mixed on one
+// engine, each long prompt makes all such streams there late; apart, a few engines serve all of them.
+type quiet struct {
+	engines int
+	// enough is when fewer engines were last too few.
+	enough time.Time
+}
+
+// mark chooses the engines; every entry comes to nearly the same choice, because it ranks by the engines' names.
+func (q *quiet) mark(now time.Time, options []option) {
+	paced, slots := 0, 0
+	for _, each := range options {
+		paced += each.work.Paced
+		slots += each.Slots
+	}
+	if paced == 0 && q.engines == 0 {
+		return
+	}
+	perEngine := max(quietLoad*float64(slots)/float64(len(options)), 1)
+	needed := max(int(quietRoom*float64(paced)/perEngine+1), minQuiet)
+	needed = min(needed, int(maxQuietShare*float64(len(options))))
+	switch {
+	case needed >= q.engines:
+		q.engines, q.enough = needed, now
+	case now.Sub(q.enough) > shrinkAfter:
+		q.engines, q.enough = q.engines-1, now
+	}
+	ranked := make([]*option, len(options))
+	for index := range options {
+		ranked[index] = &options[index]
+	}
+	slices.SortFunc(ranked, func(a, b *option) int {
+		if a.server.digest < b.server.digest {
+			return -1
+		}
+		return 1
+	})
+	for _, each := range ranked[:min(q.engines, len(ranked))] {
+		each.quiet = true
+	}
+}
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -21,6 +21,8 @@
 	pacedPause = 220 * time.Millisecond
 	// stallShare is the part of a paced stream's pause that reading prompts may take up.
 	stallShare = 0.75
+	// loudShare is the part of a paced stream's pause from which on a prompt is kept off the quiet engines.
+	loudShare = 0.3
 )
 
 // speed is what is known of how fast the engines of a service read prompts.
@@ -74,3 +76,8 @@
 func (s *speed) stalls(reading time.Duration) bool {
 	return s.tightest > 0 && float64(reading) > stallShare*float64(s.tightest)
 }
+
+// loud reports whether reading for so long disturbs paced streams, together with others like it.
+func (s *speed) loud(reading time.Duration) bool {
+	return s.tightest > 0 && float64(reading) > loudShare*float64(s.tightest)
+}
--- /dev/null
+++ b/internal/request/placement/ticket.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"time"
+
+	"vanillapond/pkg/ident"
+)
+
+// Ticket is one request at a server; it must be ended.
+type Ticket struct {
+	board  *Board
+	server *server
+	work   Work
+	sent   time.Time
+	// expected is when the first event was to come, after sent.
+	expected time.Duration
+	// alone says that nothing else was to be read by the server, so that the first event tells its speed.
+	alone    bool
+	uncached ident.Tokens
+	started  bool
+	ended    bool
+}
+
+// Send notes that a request is sent to the chosen server.
+func (b *Board) Send(now time.Time, query Query, choice Choice) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	server := b.server(choice.Server)
+	ticket := &Ticket{
+		board: b, server: server, sent: now, expected: choice.Wait, work: Work{Active: 1},
+		alone: choice.Work.Prefill == 0, uncached: choice.Uncached,
+	}
+	if query.Engine {
+		ticket.work.Prefill = choice.Uncached
+		ticket.work.Memory = query.Prompt + query.Output
+		if b.speed.fragile(query.MaxPause) {
+			ticket.work.Paced = 1
+		}
+		server.cache.use(now, query.Parts)
+	}
+	server.own.add(ticket.work)
+	server.tickets[ticket] = struct{}{}
+	return ticket
+}
+
+// Started notes the first event of the answer.
+func (t *Ticket) Started(now time.Time) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.started || t.ended {
+		return
+	}
+	t.started = true
+	t.server.own.Prefill -= t.work.Prefill
+	t.work.Prefill = 0
+	if t.alone {
+		t.board.speed.observe(t.uncached, now.Sub(t.sent))
+	}
+}
+
+// Result says how a request ended, as far as the server is to blame.
+type Result int
+
+// Results of a request.
+const (
+	// Neutral tells nothing of the server.
+	Neutral Result = iota
+	// Succeeded is a whole answer, and Failed a broken or wrong one.
+	Succeeded
+	Failed
+	// Full is a refusal for want of room.
+	Full
+	// Unreachable says that no connection came about.
+	Unreachable
+)
+
+// End forgets the request; further calls have no effect.
+func (t *Ticket) End(now time.Time, result Result) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	delete(t.server.tickets, t)
+	t.server.own.subtract(t.work)
+	t.server.health.note(now, result)
+}
--- a/internal/role/member/member.go
+++ b/internal/role/member/member.go
@@ -2,9 +2,9 @@
 package member
 
 import (
+	"crypto/rand"
 	"io"
-
-	"github.com/oklog/ulid/v2"
+	"time"
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/process/event"
@@ -41,9 +41,13 @@
 	if err != nil {
 		return nil, err
 	}
+	incarnation, err := ident.NewIncarnation(config.Process, time.Now(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
 	m := &Member{
 		Process:     config.Process,
-		Incarnation: ident.Incarnation(ulid.Make().String()),
+		Incarnation: incarnation,
 		Secret:      secret,
 		Metrics:     metrics.New(metrics.Config{}),
 	}
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -124,9 +123,9 @@
 
 func (r *Router) logRequest(record forward.Record) {
 	pairs := []any{
-		"id", record.ID, "route", record.Route, "service", record.Service, "customer", record.Customer, "tier", int(record.Tier),
+		"id", record.ID, "route", record.Route, "service", record.Service, "customer", record.Customer, "rank", int(record.Rank),
 		"outcome", record.Outcome, "status", record.Status, "reason", record.Reason, "first_ms", record.First.Milliseconds(),
-		"took_ms", record.Took.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge / time.Millisecond,
+		"took_ms", record.Took.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
 	for _, send := range record.Sends {
 		pairs = append(pairs,
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"net/http"
 	"net/netip"
@@ -11,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"github.com/samber/oops"
 
 	"vanillapond/internal/connection/servers"
@@ -88,7 +88,10 @@
 	}
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.dropped})
-	incarnation := ident.Incarnation(ulid.Make().String())
+	incarnation, err := ident.NewIncarnation(settings.Process, time.Now(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -19,6 +19,7 @@
 	// customers is empty where no request needs a key.
 	customers map[string]*platform.Customer
 	services  map[ident.Pool]*platform.Service
+	ranks     ranks
 }
 
 // New returns the table of a version.
@@ -46,6 +47,7 @@
 			t.customers[key] = customer
 		}
 	}
+	t.ranks = newRanks(configuration)
 	return t
 }
 
@@ -102,11 +104,3 @@
 	}
 	return route.Split[len(route.Split)-1].Service
 }
-
-// Tier returns the rank of a request: the customer's where it has one, else the route's.
-func Tier(route *platform.Route, customer *platform.Customer) ident.Tier {
-	if customer != nil && customer.Tier != nil {
-		return *customer.Tier
-	}
-	return route.Tier
-}
