--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -29,7 +29,7 @@
 	minBeat      = time.Second
 	beatPerEntry = 70 * time.Millisecond
 	// readFactor is how many beats lie between two reads of all rows.
-	readFactor = 2
+	readFactor = 3
 	// lostBeats is how many beats a row stays unchanged before its entry counts as gone.
 	lostBeats = 4
 )
@@ -46,8 +46,9 @@
 	WallOffsetMS int64 `json:"wall_offset_ms"`
 	// Leaving says that the entry is stopping.
 	Leaving bool `json:"leaving,omitempty"`
-	// Usage counts what began to run at the entry.
-	Usage usage.Counts `json:"usage,omitempty"`
+	// Usage counts what began to run at the entry, up to UsageUntilMS in true Unix milliseconds.
+	Usage        usage.Counts `json:"usage,omitempty"`
+	UsageUntilMS int64        `json:"usage_until_ms"`
 }
 
 // Check returns an error where a field breaks its invariant.
@@ -97,6 +98,8 @@
 	// timeline tells true time; guarded by mu.
 	timeline timeline
 	beat     int64
+	// unwritten says that the last write of the own row failed; guarded by mu.
+	unwritten bool
 }
 
 type sighting struct {
@@ -170,12 +173,24 @@
 		WallOffsetMS: r.timeline.ownOffset.Milliseconds(), Leaving: leaving,
 	}
 	r.mu.Unlock()
+	row.UsageUntilMS = r.TrueTime().UnixMilli()
 	row.Usage = r.config.Usage()
 	value, err := json.Marshal(row)
 	if err != nil {
 		return oops.Wrapf(err, "encode row of entry")
 	}
-	return r.config.Table.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: r.Key(), Value: value}}})
+	err = r.config.Table.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: r.Key(), Value: value}}})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unwritten = err != nil
+	return err
+}
+
+// Unwritten reports whether the own row could not be written, so that peers must be told of it otherwise.
+func (r *Registry) Unwritten() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unwritten
 }
 
 // Read reads all rows and returns them; rows that cannot be decoded are logged and passed over.
--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -27,10 +27,30 @@
 	settleBeats = 2
 	// lookInterval is the time between two looks for windows that are due.
 	lookInterval = 500 * time.Millisecond
+	// patience is the part of the time until a report is due in which missing entries are waited for: the rest is for a
+	// new holder or an outage of the store.
+	patience = 0.5
 	// sendTimeout bounds one call; it is also how long the lease must last when the call is made.
 	sendTimeout = time.Second
 )
 
+// Tally is what one entry has counted up to a moment of true time.
+type Tally struct {
+	Counts Counts
+	Until  time.Time
+	// Ended says that the entry has stopped and counts no more.
+	Ended bool
+}
+
+// misses reports whether the entry counted in a window, or just before it, and has not told all of it yet.
+func (t Tally) misses(window Window, length time.Duration) bool {
+	end := window.End(length)
+	return !t.Ended && t.Until.Before(end) && t.Until.After(end.Add(-2*length))
+}
+
+// errIncomplete says that an entry has not told all that it counted in a window.
+var errIncomplete = errors.New("usage: an entry has not told its counts yet")
+
 // Lease says whether this process is in charge of the reports.
 type Lease interface {
 	Check(now clock.Reading, guard time.Duration) (lease.Grant, error)
@@ -50,7 +70,7 @@
 	Lease   Lease
 	Reports Reports
 	// Gather reads the counts of all entries.
-	Gather func(ctx context.Context) ([]Counts, error)
+	Gather func(ctx context.Context) ([]Tally, error)
 	// Beat returns how often entries write their counts.
 	Beat func() time.Duration
 	// Length is that of a window, and Late how long after its end the report is due.
@@ -115,6 +135,9 @@
 		r.config.Log("usage_windows_lost", "from", r.sent+1, "to", window-1)
 	}
 	counts, err := r.freeze(ctx, grant, window)
+	if errors.Is(err, errIncomplete) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -171,16 +194,29 @@
 	return table.Key(frozenTable + "/" + strconv.FormatInt(int64(window), 10))
 }
 
+// sum adds up a window, unless an entry may still tell more of it in time.
 func (r *Reporter) sum(ctx context.Context, window Window) (map[ident.Customer]int64, error) {
-	all, err := r.config.Gather(ctx)
+	tallies, err := r.config.Gather(ctx)
 	if err != nil {
 		return nil, err
 	}
+	wait := time.Duration(patience * float64(r.config.Late))
+	patient := r.config.Now().Before(window.End(r.config.Length).Add(wait))
 	total := make(map[ident.Customer]int64)
-	for _, counts := range all {
-		for customer, count := range counts[window] {
+	missing := 0
+	for _, tally := range tallies {
+		if tally.misses(window, r.config.Length) {
+			missing++
+		}
+		for customer, count := range tally.Counts[window] {
 			total[customer] += count
 		}
 	}
+	if missing > 0 && patient {
+		return nil, errIncomplete
+	}
+	if missing > 0 {
+		r.config.Log("usage_incomplete", "window", window, "entries", len(tallies), "missing", missing)
+	}
 	return total, nil
 }
--- a/internal/process/usage/usage.go
+++ b/internal/process/usage/usage.go
@@ -73,3 +73,19 @@
 
 // KeptTime returns how long counts are kept, so that the row of an ended process may go after it.
 func KeptTime(length time.Duration) time.Duration { return (keptWindows + 2) * length }
+
+// Merge adds what other holds, by the greater of two counts of one thing: an entry's counts only grow.
+func (c Counts) Merge(other Counts) Counts {
+	merged := make(Counts, len(c))
+	for _, source := range []Counts{c, other} {
+		for window, counts := range source {
+			if merged[window] == nil {
+				merged[window] = make(map[ident.Customer]int64, len(counts))
+			}
+			for customer, count := range counts {
+				merged[window][customer] = max(merged[window][customer], count)
+			}
+		}
+	}
+	return merged
+}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -144,7 +144,11 @@
 		return Choice{}, false
 	}
 	if query.Engine {
-		b.quiet.mark(now, options)
+		arriving := 0
+		if b.speed.fragile(query.MaxPause) {
+			arriving = 1
+		}
+		b.quiet.mark(now, options, arriving)
 		rankHomes(query.Parts, options)
 	}
 	var best Choice
--- /dev/null
+++ b/internal/request/placement/placement_test.go
@@ -0,0 +1,196 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"vanillapond/internal/request/placement"
+	"vanillapond/pkg/ident"
+)
+
+// start is when each case begins.
+var start = time.Unix(1_784_000_000, 0)
+
+// engines returns engines e0, e1 and so on, with the figures of a present machine.
+func engines(count int) []placement.Candidate {
+	list := make([]placement.Candidate, count)
+	for index := range list {
+		list[index] = placement.Candidate{ID: ident.Endpoint(fmt.Sprintf("e%d", index)), Slots: 64, Memory: 250_000}
+	}
+	return list
+}
+
+var (
+	long  = placement.Query{Engine: true, Prompt: 9000, Output: 50, Objective: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond}
+	paced = placement.Query{Engine: true, Prompt: 700, Output: 270, Objective: 300 * time.Millisecond, MaxPause: 150 * time.Millisecond}
+)
+
+// place picks a server and sends to it.
+func place(t *testing.T, board *placement.Board, now time.Time, query placement.Query, among []placement.Candidate) (placement.Choice, *placement.Ticket) {
+	t.Helper()
+	choice, found := board.Pick(now, query, among)
+	if !found {
+		t.Fatal("found no server")
+	}
+	return choice, board.Send(now, query, choice)
+}
+
+// TestLongPromptsKeepOffPacedStreams replays long prompts beside live streams with short pauses.
+func TestLongPromptsKeepOffPacedStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	board := placement.New(1)
+	among := engines(12)
+	streaming := make(map[ident.Endpoint]bool)
+	for range 30 {
+		choice, ticket := place(t, board, start, paced, among)
+		ticket.Started(start.Add(40 * time.Millisecond))
+		streaming[choice.Server] = true
+	}
+	is.True(len(streaming) <= 3) // Paced streams share few engines.
+	for range 40 {
+		choice, _ := place(t, board, start.Add(100*time.Millisecond), long, among)
+		is.True(!streaming[choice.Server])
+	}
+}
+
+// TestEntriesAgreeOnHomes sends one subject's prompts from two entries that have told each other nothing.
+func TestEntriesAgreeOnHomes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	among := engines(12)
+	for subject := range uint64(50) {
+		query := long
+		query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 1000 + subject, Tokens: 3800}}
+		first, _ := place(t, placement.New(1), start, query, among)
+		second, _ := place(t, placement.New(2), start, query, among)
+		is.Equal(first.Server, second.Server)
+	}
+}
+
+// TestHotSubjectSpills replays many requests for one subject at one moment.
+func TestHotSubjectSpills(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	board := placement.New(1)
+	among := engines(12)
+	query := long
+	query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 8, Tokens: 3800}}
+	used := make(map[ident.Endpoint]int)
+	for range 40 {
+		choice, _ := place(t, board, start, query, among)
+		used[choice.Server]++
+	}
+	is.True(len(used) > 2)
+	for _, count := range used {
+		is.True(count < 30)
+	}
+}
+
+// TestPeersCount holds that what a peer tells counts like own work, until it is told anew or the peer falls silent.
+func TestPeersCount(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	board := placement.New(1)
+	among := engines(2)
+	busy := map[ident.Endpoint]placement.Work{"e0": {Active: 30, Prefill: 90_000, Memory: 100_000}}
+	board.Hear(start, "peer", busy)
+	board.Hear(start, "peer", busy)
+	choice, _ := board.Pick(start, long, among)
+	is.Equal(choice.Server, ident.Endpoint("e1"))
+	is.Equal(choice.Work, placement.Work{})
+	board.Hear(start, "peer", map[ident.Endpoint]placement.Work{"e1": {Active: 30, Prefill: 90_000}})
+	choice, _ = board.Pick(start, long, among)
+	is.Equal(choice.Server, ident.Endpoint("e0"))
+	is.Equal(choice.Work, placement.Work{})
+	choice, _ = board.Pick(start.Add(4*time.Second), long, among[1:])
+	is.Equal(choice.Work, placement.Work{})
+}
+
+// TestUnreachableServerIsLeftOut holds that a server without connection gets no work for a while, unless all are so.
+func TestUnreachableServerIsLeftOut(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	board := placement.New(1)
+	among := engines(2)
+	plain := placement.Query{}
+	for _, id := range []ident.Endpoint{"e0", "e1"} {
+		ticket := board.Send(start, plain, placement.Choice{Server: id})
+		ticket.End(start, placement.Unreachable)
+		choice, found := board.Pick(start, plain, among)
+		is.True(found)
+		if id == "e0" {
+			is.Equal(choice.Server, ident.Endpoint("e1"))
+		}
+	}
+	_, found := board.Pick(start, placement.Query{Avoid: []ident.Endpoint{"e0", "e1"}}, among)
+	is.True(!found)
+}
+
+// TestBoardProperties holds that work is never negative and ends at nothing, in any order of sends, events and ends.
+func TestBoardProperties(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		board := placement.New(rapid.Uint64().Draw(t, "seed"))
+		among := engines(rapid.IntRange(1, 6).Draw(t, "engines"))
+		now := start
+		var open []*placement.Ticket
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			switch action := rapid.IntRange(0, 3).Draw(t, "action"); {
+			case action < 2 || len(open) == 0:
+				query := placement.Query{
+					Engine: rapid.Bool().Draw(t, "engine"), Prompt: ident.Tokens(rapid.IntRange(0, 40_000).Draw(t, "prompt")),
+					Output: ident.Tokens(rapid.IntRange(0, 500).Draw(t, "output")), MaxPause: 150 * time.Millisecond,
+					Parts: []placement.Part{{Chain: rapid.Uint64Range(0, 3).Draw(t, "part"), Tokens: 2000}},
+				}
+				choice, found := board.Pick(now, query, among)
+				if !found {
+					t.Fatal("found no server among some that are not avoided")
+				}
+				open = append(open, board.Send(now, query, choice))
+			case action == 2:
+				open[rapid.IntRange(0, len(open)-1).Draw(t, "started")].Started(now)
+			default:
+				ended := rapid.IntRange(0, len(open)-1).Draw(t, "ended")
+				open[ended].End(now, placement.Result(rapid.IntRange(0, 4).Draw(t, "result")))
+				open = append(open[:ended], open[ended+1:]...)
+			}
+			for id, work := range board.Own() {
+				if work.Active < 0 || work.Prefill < 0 || work.Memory < 0 || work.Paced < 0 {
+					t.Fatalf("work of %s is below nothing: %+v", id, work)
+				}
+			}
+		}
+		for _, ticket := range open {
+			ticket.End(now, placement.Neutral)
+			ticket.End(now, placement.Neutral)
+		}
+		if left := board.Own(); len(left) != 0 {
+			t.Fatalf("work is left after all requests have ended: %v", left)
+		}
+	})
+}
+
+// BenchmarkPick measures a decision at 300 servers that 20 entries send to.
+func BenchmarkPick(b *testing.B) {
+	board := placement.New(1)
+	among := engines(300)
+	for peer := range 20 {
+		work := make(map[ident.Endpoint]placement.Work)
+		for _, each := range among {
+			work[each.ID] = placement.Work{Active: peer % 5, Prefill: 500, Memory: 4000, Paced: peer % 2}
+		}
+		board.Hear(start, ident.Process(fmt.Sprint("peer", peer)), work)
+	}
+	query := long
+	query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 8, Tokens: 3800}}
+	for b.Loop() {
+		choice, _ := board.Pick(start, query, among)
+		board.Send(start, query, choice).End(start, placement.Succeeded)
+	}
+}
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -30,9 +30,10 @@
 	enough time.Time
 }
 
-// mark chooses the engines; every entry comes to nearly the same choice, because it ranks by the engines' names.
-func (q *quiet) mark(now time.Time, options []option) {
-	paced, slots := 0, 0
+// mark chooses the engines for the paced streams that run and the arriving ones; every entry comes to nearly the same
+// choice, because it ranks by the engines' names.
+func (q *quiet) mark(now time.Time, options []option, arriving int) {
+	paced, slots := arriving, 0
 	for _, each := range options {
 		paced += each.work.Paced
 		slots += each.Slots
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/pkg/ident"
@@ -31,6 +32,10 @@
 	Work map[ident.Pool]map[ident.Endpoint]placement.Work `cbor:"2,keyasint,omitempty"`
 	// Losses are servers that broke off on a request.
 	Losses []forward.Loss `cbor:"3,keyasint,omitempty"`
+	// Incarnation, Usage and UsageUntilMS are set while the sender cannot write its row into the store.
+	Incarnation  ident.Incarnation `cbor:"4,keyasint,omitempty"`
+	Usage        usage.Counts      `cbor:"5,keyasint,omitempty"`
+	UsageUntilMS int64             `cbor:"6,keyasint,omitempty"`
 }
 
 // gossip tells peers of the own work by datagrams: a lost one is made good by the next.
@@ -81,6 +86,9 @@
 			g.router.board(service).Hear(now, heard.Process, work)
 		}
 		g.router.suspects.Learn(now, heard.Losses)
+		if heard.Incarnation != "" {
+			g.router.told.hear(heard.Incarnation, usage.Tally{Counts: heard.Usage, Until: time.UnixMilli(heard.UsageUntilMS)})
+		}
 	}
 }
 
@@ -92,7 +100,7 @@
 		if len(peers) == 0 {
 			continue
 		}
-		content, err := cbor.Marshal(message{Process: g.router.settings.Process, Work: g.router.ownWork(), Losses: g.router.suspects.News()})
+		content, err := cbor.Marshal(g.router.message())
 		if err != nil || len(content) > maxMessage {
 			g.router.journal.Log("peers_untold", "bytes", len(content), "err", err)
 			continue
@@ -105,6 +113,15 @@
 	}
 }
 
+// message returns what is to be told now.
+func (r *Router) message() message {
+	told := message{Process: r.settings.Process, Work: r.ownWork(), Losses: r.suspects.News()}
+	if r.peers.Unwritten() {
+		told.Incarnation, told.UsageUntilMS, told.Usage = r.incarnation, r.peers.TrueTime().UnixMilli(), r.counter.Counts()
+	}
+	return told
+}
+
 // ownWork returns the own work by service, also of services without any, so that peers forget what has ended.
 func (r *Router) ownWork() map[ident.Pool]map[ident.Endpoint]placement.Work {
 	r.mu.Lock()
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -148,28 +148,6 @@
 	return direct.New(direct.Config{Address: server.Address, Limit: limit, DialTimeout: dialTimeout, OnDial: r.metrics.dialed})
 }
 
-// gatherUsage reads what all entries have counted, and removes rows of entries that have long ended.
-func (r *Router) gatherUsage(ctx context.Context) ([]usage.Counts, error) {
-	rows, err := r.peers.Read(ctx)
-	if err != nil {
-		return nil, err
-	}
-	counts := make([]usage.Counts, 0, len(rows))
-	var ended []table.Write
-	for key, row := range rows {
-		counts = append(counts, row.Usage)
-		if key != r.peers.Key() && r.peers.Idle(key) > usage.KeptTime(r.settings.Bounds.UsageWindow) {
-			ended = append(ended, table.Write{Key: key, Delete: true})
-		}
-	}
-	if len(ended) > 0 {
-		if err := r.store.Commit(ctx, table.Transaction{Writes: ended}); err != nil {
-			r.journal.Log("ended_entries_not_removed", "entries", len(ended), "err", err)
-		}
-	}
-	return counts, nil
-}
-
 // reports sends finished windows to the platform.
 type reports struct{ duties *platform.Duties }
 
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -43,21 +43,23 @@
 
 // Router is a running process.
 type Router struct {
-	settings platform.Settings
-	journal  *journal.Journal
-	metrics  *metrics
-	store    *platform.Store
-	current  *routes.Current
-	servers  *servers.Registry
-	peers    *peers.Registry
-	suspects *forward.SuspectList
-	counter  *usage.Counter
-	lease    *lease.Lease
-	callers  *listener.Listener
-	ready    *listener.Listener
-	exposed  *listener.Listener
-	gossip   *gossip
-	state    state
+	settings    platform.Settings
+	incarnation ident.Incarnation
+	journal     *journal.Journal
+	metrics     *metrics
+	store       *platform.Store
+	current     *routes.Current
+	servers     *servers.Registry
+	peers       *peers.Registry
+	suspects    *forward.SuspectList
+	counter     *usage.Counter
+	lease       *lease.Lease
+	callers     *listener.Listener
+	ready       *listener.Listener
+	exposed     *listener.Listener
+	gossip      *gossip
+	told        told
+	state       state
 	// cancel ends the loops, and loops waits for them.
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -82,26 +84,26 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
 	}
+	incarnation, err := ident.NewIncarnation(settings.Process, time.Now(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
 	r := &Router{
-		settings: settings, current: &routes.Current{}, suspects: forward.NewSuspectList(),
+		settings: settings, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
 		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
 	}
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.dropped})
-	incarnation, err := ident.NewIncarnation(settings.Process, time.Now(), rand.Reader)
-	if err != nil {
-		return nil, err
-	}
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
-	if err := r.assemble(ctx, config, incarnation); err != nil {
+	if err := r.assemble(ctx, config); err != nil {
 		return nil, err
 	}
 	return r, nil
 }
 
-func (r *Router) assemble(ctx context.Context, config Config, incarnation ident.Incarnation) error {
+func (r *Router) assemble(ctx context.Context, config Config) error {
 	settings := r.settings
 	r.state.journal = r.journal
 	r.store = platform.NewStore(platform.StoreConfig{
@@ -113,12 +115,12 @@
 		return oops.Wrapf(err, "address of %s", settings.Process)
 	}
 	r.peers = peers.New(peers.Config{
-		Table: r.store, Feed: r.store, Process: settings.Process, Incarnation: incarnation,
+		Table: r.store, Feed: r.store, Process: settings.Process, Incarnation: r.incarnation,
 		Address: netip.AddrPortFrom(address, settings.PeerPort), Usage: func() usage.Counts { return r.counter.Counts() }, Log: r.journal.Log,
 	})
 	r.counter = usage.NewCounter(settings.Bounds.UsageWindow, r.peers.TrueTime)
 	r.lease = lease.New(lease.Config{
-		Table: r.store, Name: dutyLease, Process: settings.Process, Incarnation: incarnation, Term: settings.Bounds.LeaseTerm, Place: r.place,
+		Table: r.store, Name: dutyLease, Process: settings.Process, Incarnation: r.incarnation, Term: settings.Bounds.LeaseTerm, Place: r.place,
 	})
 	if r.gossip, err = newGossip(ctx, r); err != nil {
 		return err
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -8,7 +8,7 @@
 	storeTimeout = 1200 * time.Millisecond
 	// configWait is how long a question for a new configuration waits; it is also how old the knowledge may grow while
 	// all is well, so that it stays well below the time in which a withdrawn key must stop working.
-	configWait = 1200 * time.Millisecond
+	configWait = 1800 * time.Millisecond
 	// serversWait is how long a question for changed servers waits; changes come at once.
 	serversWait = 5 * time.Second
 	// returnTime is how long servers have to enter themselves again after the store was away, with a little room.
@@ -34,7 +34,7 @@
 	// journalTimeout bounds the writing of the last log lines.
 	journalTimeout = 100 * time.Millisecond
 	// unreadyAge is how old the knowledge of the configuration is when a process asks for no new connections.
-	unreadyAge = 2500 * time.Millisecond
+	unreadyAge = 3 * time.Second
 )
 
 // dutyLease names the lease of the process that reports usage.
