--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -37,6 +37,8 @@
 	known map[ident.Endpoint]*Server
 	// ready holds the servers of each service that take new work; its lists are never changed. Guarded by mu.
 	ready map[ident.Pool][]*Server
+	// generation changes with ready; guarded by mu.
+	generation uint64
 	// listed says that the servers were listed once; guarded by mu.
 	listed bool
 	// disturbed is when the store last failed to answer; guarded by mu.
@@ -51,11 +53,12 @@
 	return &Registry{config: config, known: make(map[ident.Endpoint]*Server), ready: make(map[ident.Pool][]*Server)}
 }
 
-// Ready returns the servers of a service that take new work; the list must not be changed.
-func (r *Registry) Ready(service ident.Pool) []*Server {
+// Ready returns the servers of a service that take new work, and a number that changes with them; the list must not be
+// changed.
+func (r *Registry) Ready(service ident.Pool) (list []*Server, generation uint64) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.ready[service]
+	return r.ready[service], r.generation
 }
 
 // Takes reports whether a server still takes new work.
@@ -199,4 +202,5 @@
 		}
 	}
 	r.ready = ready
+	r.generation++
 }
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -10,6 +10,7 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/placement"
+	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
@@ -131,13 +132,21 @@
 func (c *call) send() verdict {
 	now := time.Now()
 	board := c.forwarder.config.Board(c.service)
-	ready := c.forwarder.config.Servers.Ready(c.service)
-	choice, found := board.Pick(now, c.query, c.candidates(ready))
+	ready, generation := c.forwarder.config.Servers.Ready(c.service)
+	known := c.forwarder.config.Current.Table()
+	board.Update(placement.Generation{Servers: generation, Version: known.Version()}, func() []placement.Candidate {
+		return c.candidates(ready, known)
+	})
+	choice, found := board.Pick(now, c.query)
 	if !found {
 		c.refuse(retryLater("no server takes work", noServerRetry))
 		return done
 	}
 	server := byID(ready, choice.Server)
+	if server == nil {
+		// Another request has brought a newer list to the board.
+		return unreached
+	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	ticket := board.Send(now, c.query, choice)
 	result, blame := c.exchange(server, ticket)
@@ -148,10 +157,10 @@
 
 var verdictNames = [...]string{"done", "unreached", "refused", "lost", "failed", "interrupted"}
 
-func (c *call) candidates(ready []*servers.Server) []placement.Candidate {
+func (c *call) candidates(ready []*servers.Server, known *routes.Table) []placement.Candidate {
 	candidates := make([]placement.Candidate, len(ready))
 	var memory ident.Tokens
-	if service := c.forwarder.config.Current.Table().Service(c.service); service != nil && service.Engine != nil {
+	if service := known.Service(c.service); service != nil && service.Engine != nil {
 		memory = service.Engine.MemoryTokens
 	}
 	for index, server := range ready {
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -34,51 +34,61 @@
 	farEngineCost = 0.004
 )
 
-// weighEngine adds the expected wait for the first event, what is read again, and the harm to what already runs there.
+// engineWeigher returns what sending the request to an engine costs: the expected wait for the first event, what is read
+// again, and the harm to what already runs there.
 //
 // Load pattern: engines read long prompts in chunks between the events of running streams, so a long prompt beside
 // streams with short pauses makes all of them late; a prompt of which the first parts are cached costs little.
-func (b *Board) weighEngine(now time.Time, query Query, each *option, choice *Choice) {
+func (b *Board) engineWeigher(query Query) func(*server) float64 {
 	shared := sharedTokens(query.Parts)
-	held := min(b.heldAt(now, query, each, shared), query.Prompt)
-	choice.Uncached = max(query.Prompt-held, 1)
-	pending := b.speed.reading(choice.Work.Prefill)
-	reading := b.speed.reading(choice.Uncached)
-	choice.Wait = pending + reading + b.speed.base()
-	cost := waitingCost(choice.Wait, query.Objective)
-	cost += rereadCost * float64(max(shared-held, 0)) / 1000
-	cost += activeCost * float64(choice.Work.Active)
-	if !each.Near {
-		cost += farEngineCost
-	}
-	if paced := float64(choice.Work.Paced); b.speed.stalls(pending + reading) {
-		cost += stallCost * paced
-	} else {
-		cost += brushCost * paced * milliseconds(reading)
+	fragile := b.speed.fragile(query.MaxPause)
+	perToken := 1 / b.speed.rate
+	base := milliseconds(b.speed.base())
+	objective := milliseconds(query.Objective)
+	if objective <= 0 {
+		objective = milliseconds(time.Second)
 	}
-	switch fragile := b.speed.fragile(query.MaxPause); {
-	case fragile && !each.quiet:
-		cost += loudCost
-	case !fragile && each.quiet && b.speed.loud(reading):
-		cost += intrudeCost
+	perObjective := 1 / objective
+	stalling, loud := b.speed.stalling(), b.speed.loud()
+	size := query.Prompt + query.Output
+	return func(each *server) float64 {
+		uncached := each.uncached(query, shared)
+		reading := float64(uncached) * perToken
+		pending := float64(max(each.work.Prefill, 0)) * perToken
+		cost := waitingCost((base+pending+reading)*perObjective) +
+			rereadCost/1000*float64(max(uncached-query.Prompt+shared, 0)) + activeCost*float64(each.work.Active)
+		if !each.Near {
+			cost += farEngineCost
+		}
+		if paced := float64(each.work.Paced); pending+reading > stalling {
+			cost += stallCost * paced
+		} else {
+			cost += brushCost * paced * reading
+		}
+		switch {
+		case fragile && !each.quiet:
+			cost += loudCost
+		case !fragile && each.quiet && reading > loud:
+			cost += intrudeCost
+		}
+		return cost + pressure(float64(each.work.Memory+size), float64(each.Memory), memoryFrom, memoryCost) +
+			pressure(float64(each.work.Active), float64(each.Slots), slotsFrom, slotsCost)
 	}
-	cost += pressure(float64(choice.Work.Memory+query.Prompt+query.Output), float64(each.Memory), memoryFrom, memoryCost)
-	cost += pressure(float64(choice.Work.Active), float64(each.Slots), slotsFrom, slotsCost)
-	choice.Cost = cost
 }
 
-// waitingCost grows slowly up to the objective and steeply near and after it.
-func waitingCost(wait, objective time.Duration) float64 {
-	if objective <= 0 {
-		objective = time.Second
-	}
-	share := float64(wait) / float64(objective)
+// uncached returns how many tokens of a prompt the engine has to read.
+func (s *server) uncached(query Query, shared ident.Tokens) ident.Tokens {
+	return max(query.Prompt-s.believed(shared), 1)
+}
+
+// waitingCost grows slowly up to the objective and steeply near and after it; share is of the objective.
+func waitingCost(share float64) float64 {
 	return waitCost*share + lateCost*max(share-lateFrom, 0)
 }
 
 // pressure grows from nothing to its cost as a resource fills, and on above that.
 func pressure(taken, whole, from, cost float64) float64 {
-	if whole <= 0 || taken/whole <= from {
+	if whole <= 0 || taken <= from*whole {
 		return 0
 	}
 	over := (taken/whole - from) / (1 - from)
--- a/internal/request/placement/health.go
+++ b/internal/request/placement/health.go
@@ -53,6 +53,9 @@
 // penalty returns what doubt about the server adds to its cost.
 func (s *server) penalty(now time.Time) float64 {
 	penalty := failureCost * max(s.health.failures-toleratedFailures, 0)
+	if len(s.tickets) == 0 {
+		return penalty
+	}
 	for ticket := range s.tickets {
 		if !ticket.started && now.Sub(ticket.sent) > max(overdueFactor*ticket.expected, overdueFloor) {
 			penalty += overdueCost
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -73,32 +74,57 @@
 
 // Board knows the work of the servers of one service.
 type Board struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// generation tells whether the members are still those that the caller knows; guarded by mu.
+	generation Generation
+	// members are the servers that take new work, in the order that all entries share; guarded by mu.
+	members []*server
 	servers map[ident.Endpoint]*server
 	peers   map[ident.Process]peer
 	speed   speed
 	quiet   quiet
+	cache   prefixes
 	random  *rand.Rand
+	// options is the memory of the last pick; guarded by mu.
+	options []*server
+}
+
+// Generation names a list of candidates; a list with the same name is the same.
+type Generation struct {
+	Servers uint64
+	Version ident.Version
 }
 
 // server is what is known of one server.
 type server struct {
+	Candidate
 	// digest ranks the server, alike at all entries.
 	digest uint64
 	own    Work
 	// remote is the sum of what peers tell.
 	remote Work
-	cache  prefixes
 	health health
 	// tickets are the entry's own requests at the server.
 	tickets map[*Ticket]struct{}
+
+	// The following hold while one request is placed.
+
+	// work is of all entries.
+	work Work
+	// home is the server's place for the request's shared parts: 0 is where all entries expect them.
+	home int
+	// quiet says that the server is kept for streams with short pauses.
+	quiet bool
+	// parts counts the request's first parts that were sent there lately, and held their tokens.
+	parts int
+	held  ident.Tokens
 }
 
 // New returns a board that knows nothing; the seed makes its draws repeatable.
 func New(seed uint64) *Board {
 	return &Board{
 		servers: make(map[ident.Endpoint]*server), peers: make(map[ident.Process]peer),
-		speed:  newSpeed(),
+		speed: newSpeed(), cache: make(prefixes),
 		random: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // A seeded choice is wanted.
 	}
 }
@@ -106,100 +132,99 @@
 func (b *Board) server(id ident.Endpoint) *server {
 	found := b.servers[id]
 	if found == nil {
-		found = &server{digest: xxhash.Sum64String(string(id)), tickets: make(map[*Ticket]struct{})}
+		found = &server{
+			Candidate: Candidate{ID: id}, digest: xxhash.Sum64String(string(id)), tickets: make(map[*Ticket]struct{}),
+		}
 		b.servers[id] = found
 	}
 	return found
 }
 
-// Keep forgets all servers but those given.
-func (b *Board) Keep(ids map[ident.Endpoint]bool) {
+// Update takes over the servers that take new work, if they are others than before; list is asked for only then.
+func (b *Board) Update(generation Generation, list func() []Candidate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, server := range b.servers {
-		if !ids[id] && len(server.tickets) == 0 {
+	if b.generation == generation && b.members != nil {
+		return
+	}
+	b.generation = generation
+	b.members = make([]*server, 0, len(b.members))
+	present := make(map[ident.Endpoint]bool)
+	for _, candidate := range list() {
+		known := b.server(candidate.ID)
+		known.Candidate = candidate
+		b.members = append(b.members, known)
+		present[candidate.ID] = true
+	}
+	slices.SortFunc(b.members, func(a, b *server) int { return cmp.Compare(a.digest, b.digest) })
+	for id, known := range b.servers {
+		if !present[id] && len(known.tickets) == 0 {
 			delete(b.servers, id)
+			b.cache.forget(known)
 		}
 	}
 }
 
-// option is a candidate with what is known of it, while one request is placed.
-type option struct {
-	Candidate
-	server *server
-	work   Work
-	// home is the server's place for the request's shared parts: 0 is where all entries expect them.
-	home int
-	// quiet says that the server is kept for streams with short pauses.
-	quiet bool
-}
-
 // Pick returns the best server for a request, or false where there is none; a ticket must be taken for what is sent.
-func (b *Board) Pick(now time.Time, query Query, candidates []Candidate) (Choice, bool) {
+func (b *Board) Pick(now time.Time, query Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	options := b.options(now, query, candidates)
-	if len(options) == 0 {
+	b.gather(now, query)
+	if len(b.options) == 0 {
 		return Choice{}, false
 	}
 	if query.Engine {
-		arriving := 0
-		if b.speed.fragile(query.MaxPause) {
-			arriving = 1
-		}
-		b.quiet.mark(now, options, arriving)
-		rankHomes(query.Parts, options)
+		b.quiet.mark(now, b.options, b.speed.fragile(query.MaxPause))
+		rankHomes(query.Parts, b.options)
+		b.cache.mark(now, query.Parts)
 	}
-	var best Choice
-	ties := 0
-	for index := range options {
-		choice := b.weigh(now, query, &options[index])
+	chosen, cost := b.cheapest(now, query)
+	choice := Choice{Server: chosen.ID, Cost: cost, Work: chosen.work, Quiet: chosen.quiet, Usable: len(b.options)}
+	if query.Engine {
+		choice.Uncached = chosen.uncached(query, sharedTokens(query.Parts))
+		choice.Wait = b.speed.reading(choice.Work.Prefill+choice.Uncached) + b.speed.base()
+	}
+	return choice, true
+}
+
+// cheapest returns the option of least cost, a random one of several.
+func (b *Board) cheapest(now time.Time, query Query) (*server, float64) {
+	weigh := weighPlain
+	if query.Engine {
+		weigh = b.engineWeigher(query)
+	}
+	var best *server
+	least, ties := 0.0, 0
+	for _, each := range b.options {
+		cost := weigh(each) + each.penalty(now)
 		switch {
-		case ties == 0 || choice.Cost < best.Cost:
-			best, ties = choice, 1
-		case choice.Cost == best.Cost:
+		case best == nil || cost < least:
+			best, least, ties = each, cost, 1
+		case cost == least:
 			if ties++; b.random.IntN(ties) == 0 {
-				best = choice
+				best = each
 			}
 		}
 	}
-	best.Usable = len(options)
-	return best, true
+	return best, least
 }
 
-// options returns the candidates that are neither avoided nor out; where all are out, those that are not avoided.
-func (b *Board) options(now time.Time, query Query, candidates []Candidate) []option {
-	options := make([]option, 0, len(candidates))
-	var out []option
-	for _, candidate := range candidates {
-		if slices.Contains(query.Avoid, candidate.ID) {
-			continue
+// gather sets options to the members that are neither avoided nor out; where all are out, to those that are not avoided.
+func (b *Board) gather(now time.Time, query Query) {
+	b.options = b.options[:0]
+	for _, out := range []bool{false, true} {
+		for _, each := range b.members {
+			if each.health.out(now) != out || slices.Contains(query.Avoid, each.ID) {
+				continue
+			}
+			each.work = each.own
+			each.work.add(each.remote)
+			each.home, each.quiet, each.parts, each.held = homes, false, 0, 0
+			b.options = append(b.options, each)
 		}
-		known := b.server(candidate.ID)
-		work := known.own
-		work.add(known.remote)
-		each := option{Candidate: candidate, server: known, work: work}
-		if known.health.out(now) {
-			out = append(out, each)
-		} else {
-			options = append(options, each)
+		if len(b.options) > 0 {
+			return
 		}
 	}
-	if len(options) == 0 {
-		return out
-	}
-	return options
-}
-
-// weigh returns what sending the request to an option costs.
-func (b *Board) weigh(now time.Time, query Query, each *option) Choice {
-	choice := Choice{Server: each.ID, Work: each.work, Quiet: each.quiet}
-	if query.Engine {
-		b.weighEngine(now, query, each, &choice)
-	} else {
-		weighPlain(each, &choice)
-	}
-	choice.Cost += each.server.penalty(now)
-	return choice
 }
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -29,10 +29,16 @@
 	paced = placement.Query{Engine: true, Prompt: 700, Output: 270, Objective: 300 * time.Millisecond, MaxPause: 150 * time.Millisecond}
 )
 
+// among makes the candidates the board's members.
+func among(board *placement.Board, list []placement.Candidate) *placement.Board {
+	board.Update(placement.Generation{Servers: uint64(len(list))}, func() []placement.Candidate { return list })
+	return board
+}
+
 // place picks a server and sends to it.
-func place(t *testing.T, board *placement.Board, now time.Time, query placement.Query, among []placement.Candidate) (placement.Choice, *placement.Ticket) {
+func place(t *testing.T, board *placement.Board, now time.Time, query placement.Query) (placement.Choice, *placement.Ticket) {
 	t.Helper()
-	choice, found := board.Pick(now, query, among)
+	choice, found := board.Pick(now, query)
 	if !found {
 		t.Fatal("found no server")
 	}
@@ -43,17 +49,16 @@
 func TestLongPromptsKeepOffPacedStreams(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	board := placement.New(1)
-	among := engines(12)
+	board := among(placement.New(1), engines(12))
 	streaming := make(map[ident.Endpoint]bool)
 	for range 30 {
-		choice, ticket := place(t, board, start, paced, among)
+		choice, ticket := place(t, board, start, paced)
 		ticket.Started(start.Add(40 * time.Millisecond))
 		streaming[choice.Server] = true
 	}
 	is.True(len(streaming) <= 3) // Paced streams share few engines.
 	for range 40 {
-		choice, _ := place(t, board, start.Add(100*time.Millisecond), long, among)
+		choice, _ := place(t, board, start.Add(100*time.Millisecond), long)
 		is.True(!streaming[choice.Server])
 	}
 }
@@ -62,13 +67,15 @@
 func TestEntriesAgreeOnHomes(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	among := engines(12)
+	first, second := among(placement.New(1), engines(12)), among(placement.New(2), engines(12))
 	for subject := range uint64(50) {
 		query := long
 		query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 1000 + subject, Tokens: 3800}}
-		first, _ := place(t, placement.New(1), start, query, among)
-		second, _ := place(t, placement.New(2), start, query, among)
-		is.Equal(first.Server, second.Server)
+		here, ticket := place(t, first, start, query)
+		ticket.End(start, placement.Succeeded)
+		there, ticket := place(t, second, start, query)
+		ticket.End(start, placement.Succeeded)
+		is.Equal(here.Server, there.Server)
 	}
 }
 
@@ -76,13 +83,12 @@
 func TestHotSubjectSpills(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	board := placement.New(1)
-	among := engines(12)
+	board := among(placement.New(1), engines(12))
 	query := long
 	query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 8, Tokens: 3800}}
 	used := make(map[ident.Endpoint]int)
 	for range 40 {
-		choice, _ := place(t, board, start, query, among)
+		choice, _ := place(t, board, start, query)
 		used[choice.Server]++
 	}
 	is.True(len(used) > 2)
@@ -95,19 +101,18 @@
 func TestPeersCount(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	board := placement.New(1)
-	among := engines(2)
+	board := among(placement.New(1), engines(2))
 	busy := map[ident.Endpoint]placement.Work{"e0": {Active: 30, Prefill: 90_000, Memory: 100_000}}
 	board.Hear(start, "peer", busy)
 	board.Hear(start, "peer", busy)
-	choice, _ := board.Pick(start, long, among)
+	choice, _ := board.Pick(start, long)
 	is.Equal(choice.Server, ident.Endpoint("e1"))
 	is.Equal(choice.Work, placement.Work{})
 	board.Hear(start, "peer", map[ident.Endpoint]placement.Work{"e1": {Active: 30, Prefill: 90_000}})
-	choice, _ = board.Pick(start, long, among)
+	choice, _ = board.Pick(start, long)
 	is.Equal(choice.Server, ident.Endpoint("e0"))
 	is.Equal(choice.Work, placement.Work{})
-	choice, _ = board.Pick(start.Add(4*time.Second), long, among[1:])
+	choice, _ = among(board, engines(1)).Pick(start.Add(4*time.Second), long)
 	is.Equal(choice.Work, placement.Work{})
 }
 
@@ -115,19 +120,18 @@
 func TestUnreachableServerIsLeftOut(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	board := placement.New(1)
-	among := engines(2)
+	board := among(placement.New(1), engines(2))
 	plain := placement.Query{}
 	for _, id := range []ident.Endpoint{"e0", "e1"} {
 		ticket := board.Send(start, plain, placement.Choice{Server: id})
 		ticket.End(start, placement.Unreachable)
-		choice, found := board.Pick(start, plain, among)
+		choice, found := board.Pick(start, plain)
 		is.True(found)
 		if id == "e0" {
 			is.Equal(choice.Server, ident.Endpoint("e1"))
 		}
 	}
-	_, found := board.Pick(start, placement.Query{Avoid: []ident.Endpoint{"e0", "e1"}}, among)
+	_, found := board.Pick(start, placement.Query{Avoid: []ident.Endpoint{"e0", "e1"}})
 	is.True(!found)
 }
 
@@ -135,8 +139,7 @@
 func TestBoardProperties(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		board := placement.New(rapid.Uint64().Draw(t, "seed"))
-		among := engines(rapid.IntRange(1, 6).Draw(t, "engines"))
+		board := among(placement.New(rapid.Uint64().Draw(t, "seed")), engines(rapid.IntRange(1, 6).Draw(t, "engines")))
 		now := start
 		var open []*placement.Ticket
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -148,7 +151,7 @@
 					Output: ident.Tokens(rapid.IntRange(0, 500).Draw(t, "output")), MaxPause: 150 * time.Millisecond,
 					Parts: []placement.Part{{Chain: rapid.Uint64Range(0, 3).Draw(t, "part"), Tokens: 2000}},
 				}
-				choice, found := board.Pick(now, query, among)
+				choice, found := board.Pick(now, query)
 				if !found {
 					t.Fatal("found no server among some that are not avoided")
 				}
@@ -178,11 +181,11 @@
 
 // BenchmarkPick measures a decision at 300 servers that 20 entries send to.
 func BenchmarkPick(b *testing.B) {
-	board := placement.New(1)
-	among := engines(300)
+	list := engines(300)
+	board := among(placement.New(1), list)
 	for peer := range 20 {
 		work := make(map[ident.Endpoint]placement.Work)
-		for _, each := range among {
+		for _, each := range list {
 			work[each.ID] = placement.Work{Active: peer % 5, Prefill: 500, Memory: 4000, Paced: peer % 2}
 		}
 		board.Hear(start, ident.Process(fmt.Sprint("peer", peer)), work)
@@ -190,7 +193,7 @@
 	query := long
 	query.Parts = []placement.Part{{Chain: 7, Tokens: 2500}, {Chain: 8, Tokens: 3800}}
 	for b.Loop() {
-		choice, _ := board.Pick(start, query, among)
+		choice, _ := board.Pick(start, query)
 		board.Send(start, query, choice).End(start, placement.Succeeded)
 	}
 }
--- a/internal/request/placement/plain.go
+++ b/internal/request/placement/plain.go
@@ -14,13 +14,14 @@
 //
 // Load pattern: short requests with like work, far fewer than the slots on most days; a server slows down when it is
 // nearly full, and some callers come in bursts.
-func weighPlain(each *option, choice *Choice) {
-	taken := float64(choice.Work.Active) / float64(max(each.Slots, 1))
-	choice.Cost = takenCost * taken * taken
+func weighPlain(each *server) float64 {
+	taken := float64(each.work.Active) / float64(max(each.Slots, 1))
+	cost := takenCost * taken * taken
 	if taken >= 1 {
-		choice.Cost += fullCost * taken
+		cost += fullCost * taken
 	}
 	if !each.Near {
-		choice.Cost += farCost
+		cost += farCost
 	}
+	return cost
 }
--- a/internal/request/placement/prefix.go
+++ b/internal/request/placement/prefix.go
@@ -1,11 +1,8 @@
 package placement
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vanillapond/pkg/ident"
 )
 
@@ -22,84 +19,98 @@
 // homeTrust is the part of the shared tokens that a home is believed to hold before it was seen to, by its place.
 var homeTrust = [homes]float64{0.8, 0.3}
 
-// prefixes is what a server has read and likely still keeps.
-type prefixes struct {
-	// used holds the last use of each chain of parts.
-	used map[uint64]time.Time
-}
+// prefixes holds for each chain of parts the servers that read it, with the last use.
+type prefixes map[uint64]map[*server]time.Time
 
-// use notes that a prompt with these parts is read.
-func (p *prefixes) use(now time.Time, parts []Part) {
-	if p.used == nil {
-		p.used = make(map[uint64]time.Time)
+// use notes that a server reads a prompt with these parts.
+func (p prefixes) use(now time.Time, parts []Part, by *server) {
+	if len(p) > maxParts {
+		p.trim(now)
+	}
+	for _, part := range parts {
+		if p[part.Chain] == nil {
+			p[part.Chain] = make(map[*server]time.Time)
+		}
+		p[part.Chain][by] = now
 	}
-	if len(p.used) > maxParts {
-		for chain, at := range p.used {
-			if now.Sub(at) > partTrust || len(p.used) > maxParts {
-				delete(p.used, chain)
+}
+
+// trim forgets chains that were not used lately, and others where too many are left.
+func (p prefixes) trim(now time.Time) {
+	for chain, holders := range p {
+		for holder, at := range holders {
+			if now.Sub(at) > partTrust {
+				delete(holders, holder)
 			}
 		}
+		if len(holders) == 0 || len(p) > maxParts {
+			delete(p, chain)
+		}
 	}
-	for _, part := range parts {
-		p.used[part.Chain] = now
+}
+
+// forget drops a server that has gone.
+func (p prefixes) forget(gone *server) {
+	for _, holders := range p {
+		delete(holders, gone)
 	}
 }
 
-// held returns how many tokens of a prompt need not be read again.
-func (p *prefixes) held(now time.Time, parts []Part) ident.Tokens {
-	var held ident.Tokens
-	for _, part := range parts {
-		at, found := p.used[part.Chain]
-		if !found || now.Sub(at) > partTrust {
-			return held
+// mark sets how many tokens of a prompt each server need not read again.
+func (p prefixes) mark(now time.Time, parts []Part) {
+	for index, part := range parts {
+		for holder, at := range p[part.Chain] {
+			if holder.parts == index && now.Sub(at) <= partTrust {
+				holder.parts++
+				holder.held += part.Tokens
+			}
 		}
-		held += part.Tokens
 	}
-	return held
 }
 
-// heldAt returns how many of the shared tokens an engine likely keeps: what was sent there, or what peers likely sent to
-// the engine that all agree on.
-func (b *Board) heldAt(now time.Time, query Query, each *option, shared ident.Tokens) ident.Tokens {
-	held := each.server.cache.held(now, query.Parts)
-	if each.home >= homes {
-		return held
+// believed returns how many of the shared tokens an engine likely keeps: what was sent there, or what peers likely sent
+// to the engine that all agree on.
+func (s *server) believed(shared ident.Tokens) ident.Tokens {
+	if s.home >= homes {
+		return s.held
 	}
-	return max(held, ident.Tokens(homeTrust[each.home]*float64(shared)))
+	return max(s.held, ident.Tokens(homeTrust[s.home]*float64(shared)))
 }
 
 // rankHomes finds the homes of the request's longest chain by rendezvous hashing, so that all entries agree without
-// telling each other; engines that are kept for paced streams are nobody's home unless all are.
-func rankHomes(parts []Part, options []option) {
-	for index := range options {
-		options[index].home = homes
-	}
+// telling each other; engines that are kept for paced streams are nobody's home.
+func rankHomes(parts []Part, options []*server) {
 	if len(parts) == 0 {
 		return
 	}
 	chain := parts[len(parts)-1].Chain
-	for place := range homes {
-		var best *option
-		var most uint64
-		for index := range options {
-			each := &options[index]
-			if each.home < homes || each.quiet {
-				continue
-			}
-			if weight := mix(chain, each.server.digest); best == nil || weight > most {
-				best, most = each, weight
-			}
+	var first, second *server
+	var most, next uint64
+	for _, each := range options {
+		if each.quiet {
+			continue
 		}
-		if best == nil {
-			return
+		switch weight := mix(chain ^ each.digest); {
+		case first == nil || weight > most:
+			second, next = first, most
+			first, most = each, weight
+		case second == nil || weight > next:
+			second, next = each, weight
 		}
-		best.home = place
+	}
+	if first != nil {
+		first.home = 0
+	}
+	if second != nil {
+		second.home = 1
 	}
 }
 
-func mix(a, b uint64) uint64 {
-	var both [16]byte
-	binary.LittleEndian.PutUint64(both[:8], a)
-	binary.LittleEndian.PutUint64(both[8:], b)
-	return xxhash.Sum64(both[:])
+// mix spreads a number over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // How many engines are kept for streams with short pauses.
 const (
@@ -30,10 +27,13 @@
 	enough time.Time
 }
 
-// mark chooses the engines for the paced streams that run and the arriving ones; every entry comes to nearly the same
-// choice, because it ranks by the engines' names.
-func (q *quiet) mark(now time.Time, options []option, arriving int) {
-	paced, slots := arriving, 0
+// mark chooses the engines for the paced streams that run and for an arriving one; every entry comes to nearly the same
+// choice, because all keep the servers in one order.
+func (q *quiet) mark(now time.Time, options []*server, arriving bool) {
+	paced, slots := 0, 0
+	if arriving {
+		paced = 1
+	}
 	for _, each := range options {
 		paced += each.work.Paced
 		slots += each.Slots
@@ -50,17 +50,7 @@
 	case now.Sub(q.enough) > shrinkAfter:
 		q.engines, q.enough = q.engines-1, now
 	}
-	ranked := make([]*option, len(options))
-	for index := range options {
-		ranked[index] = &options[index]
-	}
-	slices.SortFunc(ranked, func(a, b *option) int {
-		if a.server.digest < b.server.digest {
-			return -1
-		}
-		return 1
-	})
-	for _, each := range ranked[:min(q.engines, len(ranked))] {
+	for _, each := range options[:min(q.engines, len(options))] {
 		each.quiet = true
 	}
 }
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -72,12 +73,16 @@
 	return true
 }
 
-// stalls reports whether reading for so long makes paced streams late.
-func (s *speed) stalls(reading time.Duration) bool {
-	return s.tightest > 0 && float64(reading) > stallShare*float64(s.tightest)
-}
+// stalling returns for how long an engine may read before paced streams are late, in milliseconds; without such streams
+// it is endless.
+func (s *speed) stalling() float64 { return s.share(stallShare) }
+
+// loud returns for how long a prompt may be read before it disturbs paced streams, together with others like it.
+func (s *speed) loud() float64 { return s.share(loudShare) }
 
-// loud reports whether reading for so long disturbs paced streams, together with others like it.
-func (s *speed) loud(reading time.Duration) bool {
-	return s.tightest > 0 && float64(reading) > loudShare*float64(s.tightest)
+func (s *speed) share(part float64) float64 {
+	if s.tightest == 0 {
+		return math.Inf(1)
+	}
+	return part * milliseconds(s.tightest)
 }
--- a/internal/request/placement/ticket.go
+++ b/internal/request/placement/ticket.go
@@ -36,7 +36,7 @@
 		if b.speed.fragile(query.MaxPause) {
 			ticket.work.Paced = 1
 		}
-		server.cache.use(now, query.Parts)
+		b.cache.use(now, query.Parts, server)
 	}
 	server.own.add(ticket.work)
 	server.tickets[ticket] = struct{}{}
