Count what is ahead by urgency, learn the engines' speed from the fast readings, size the quiet engines by load

Cause: on the grown deployments requests were held to wait for less urgent prompts that engines put behind them; readings beside work of other entries made engines look slow; quiet engines were sized by slots although their own prompts disturb streams. Change: work by level; 85th percentile of speed; harm grows with the cube of reading; 30 to 70% of slots by the others' backlog.

--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -15,6 +15,8 @@
 const (
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// gatherTime is how long changes are gathered after some came, because they come many at a time.
+	gatherTime = 150 * time.Millisecond
 )
 
 // News is what a call brought.
@@ -52,7 +54,8 @@
 	follower := follower{config: config}
 	retry := firstRetry
 	for ctx.Err() == nil {
-		if err := follower.step(ctx); err != nil {
+		changed, err := follower.step(ctx)
+		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -62,6 +65,9 @@
 			continue
 		}
 		retry = firstRetry
+		if changed {
+			pause(ctx, gatherTime)
+		}
 	}
 }
 
@@ -73,8 +79,8 @@
 	listed   bool
 }
 
-// step makes one call and applies what it brought.
-func (f *follower) step(ctx context.Context) error {
+// step makes one call, applies what it brought and reports whether that was anything.
+func (f *follower) step(ctx context.Context) (bool, error) {
 	news := News{Whole: !f.listed, Since: f.config.Now()}
 	var err error
 	if f.listed {
@@ -86,11 +92,11 @@
 		if errors.Is(err, table.ErrForgotten) {
 			f.listed = false
 		}
-		return err
+		return false, err
 	}
 	f.revision, f.listed = news.Revision, true
 	f.config.Apply(news)
-	return nil
+	return len(news.Changes) > 0, nil
 }
 
 // pause waits for about the given time, spread so that processes do not come back in step.
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -27,7 +27,7 @@
 	// minBeat is the time between two writes of a row; beatPerEntry lengthens it, so that a large fleet's writes and
 	// reads stay a small part of what the store bears.
 	minBeat      = time.Second
-	beatPerEntry = 70 * time.Millisecond
+	beatPerEntry = 100 * time.Millisecond
 	// readFactor is how many beats lie between two reads of all rows.
 	readFactor = 3
 	// lostBeats is how many beats a row stays unchanged before its entry counts as gone.
--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -23,8 +23,9 @@
 
 // Times of a report.
 const (
-	// settleBeats is how many beats after a window's end its figures are taken, so that each entry has written them.
-	settleBeats = 2
+	// settleBeats is how many beats after a window's end its figures are first asked for; entries that have not written
+	// them by then are waited for.
+	settleBeats = 1
 	// lookInterval is the time between two looks for windows that are due.
 	lookInterval = 500 * time.Millisecond
 	// patience is the part of the time until a report is due in which missing entries are waited for: the rest is for a
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -93,6 +93,8 @@
 	// First is the time to the first bytes for the caller, 0 where there were none; Took is the time to the end.
 	First, Took time.Duration
 	Objective   time.Duration
+	// Pause is the longest time between two events of a stream, and MaxPause what the route allows.
+	Pause, MaxPause time.Duration
 }
 
 // Sent is one send of a request to a server.
@@ -130,7 +132,8 @@
 	// servers counts the servers to which the request was sent.
 	servers int
 	// lastEvent is the id of the last event that was passed on.
-	lastEvent string
+	lastEvent   string
+	lastEventAt time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -177,12 +180,13 @@
 		return refused
 	}
 	c.bound()
-	c.describe()
 	c.record.Rank = known.Rank(c.route, c.customer)
+	c.describe()
 	if c.customer != nil {
 		c.record.Customer = c.customer.Name
 	}
 	c.record.Route, c.record.Service, c.record.Objective = c.route.Name, c.service, c.route.Objective.Duration()
+	c.record.MaxPause = c.route.MaxPause.Duration()
 	c.forwarder.config.Budget(c.service).Request(c.arrived)
 	if c.forwarder.config.Suspects.Fatal(c.arrived, c.digest) {
 		return retryLater("request crashed servers before", suspectRetry)
@@ -310,6 +314,7 @@
 		c.query.Prompt = prompt.Tokens
 		c.query.Output = expectedOutput(prompt)
 		c.query.Parts = chain(prompt.Parts)
+		c.query.Level = placement.Level(min(max(int(c.record.Rank), 0), placement.Levels-1))
 	}
 	c.digest = digest(c.request.Method, c.request.RequestURI, c.key, c.body)
 }
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -107,7 +107,7 @@
 				ticket.Started(time.Now())
 				c.began()
 			}
-			c.first()
+			c.event(time.Now())
 			c.commit(response, -1)
 			c.write(pending[:whole])
 			c.flush()
@@ -166,6 +166,16 @@
 	return id
 }
 
+// event notes the time of an event.
+func (c *call) event(now time.Time) {
+	if c.record.First == 0 {
+		c.record.First = now.Sub(c.arrived)
+	} else {
+		c.record.Pause = max(c.record.Pause, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+}
+
 // first notes the time of the first bytes.
 func (c *call) first() {
 	if c.record.First == 0 {
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -15,10 +15,9 @@
 	lateFrom = 0.7
 	// rereadCost is what 1,000 shared tokens add that the engine has to read although another one holds them.
 	rereadCost = 0.1
-	// stallCost is what each running paced stream adds that the prompt would make late, and brushCost what it adds for
-	// each millisecond of reading beside it that would not yet.
+	// stallCost is what each stream adds that reading beside it would make late; shorter readings add the cube of their
+	// part of that, because only several together make a stream late.
 	stallCost = 0.5
-	brushCost = 0.0006
 	// loudCost keeps paced streams off the engines of long prompts, and intrudeCost long prompts off the kept engines.
 	loudCost    = 0.5
 	intrudeCost = 0.6
@@ -49,22 +48,23 @@
 		objective = milliseconds(time.Second)
 	}
 	perObjective := 1 / objective
-	stalling, loud := b.speed.stalling(), b.speed.loud()
+	perStall, loud := 1/b.speed.stalling(), b.speed.loud()
+	perPause := 0.0
+	if query.MaxPause > 0 {
+		perPause = 1 / (stallShare * milliseconds(query.MaxPause))
+	}
 	size := query.Prompt + query.Output
 	return func(each *server) float64 {
 		uncached := each.uncached(query, shared)
 		reading := float64(uncached) * perToken
-		pending := float64(max(each.work.Prefill, 0)) * perToken
-		cost := waitingCost((base+pending+reading)*perObjective) +
+		ahead := float64(each.work.Prefill.upTo(query.Level)) * perToken
+		pending := float64(each.work.Prefill.all()) * perToken
+		cost := waitingCost((base+ahead+reading)*perObjective) +
 			rereadCost/1000*float64(max(uncached-query.Prompt+shared, 0)) + activeCost*float64(each.work.Active)
 		if !each.Near {
 			cost += farEngineCost
 		}
-		if paced := float64(each.work.Paced); pending+reading > stalling {
-			cost += stallCost * paced
-		} else {
-			cost += brushCost * paced * reading
-		}
+		cost += stallCost * (float64(each.work.Paced)*stall((pending+reading)*perStall) + stall(pending*perPause))
 		switch {
 		case fragile && !each.quiet:
 			cost += loudCost
@@ -86,6 +86,12 @@
 	return waitCost*share + lateCost*max(share-lateFrom, 0)
 }
 
+// stall returns how likely a stream is late beside reading that takes a share of what it bears.
+func stall(share float64) float64 {
+	share = min(share, 1)
+	return share * share * share
+}
+
 // pressure grows from nothing to its cost as a resource fills, and on above that.
 func pressure(taken, whole, from, cost float64) float64 {
 	if whole <= 0 || taken <= from*whole {
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -42,6 +42,7 @@
 type Query struct {
 	// Engine says that the request generates, so that the following fields hold.
 	Engine bool
+	Level  Level
 	// Prompt and Output are the tokens to be read and the tokens that are expected.
 	Prompt ident.Tokens
 	Output ident.Tokens
@@ -58,8 +59,9 @@
 // Choice is where a request goes and why.
 type Choice struct {
 	Server ident.Endpoint
-	// Wait is the expected time to the first event.
-	Wait time.Duration
+	// Wait is the expected time to the first event, and Ahead the part of it in which others' prompts are read.
+	Wait  time.Duration
+	Ahead time.Duration
 	// Cost is the least of all servers.
 	Cost float64
 	// Work is what was known of the server's work, of all entries.
@@ -175,7 +177,7 @@
 		return Choice{}, false
 	}
 	if query.Engine {
-		b.quiet.mark(now, b.options, b.speed.fragile(query.MaxPause))
+		b.quiet.mark(now, b.options, b.speed.fragile(query.MaxPause), &b.speed)
 		rankHomes(query.Parts, b.options)
 		b.cache.mark(now, query.Parts)
 	}
@@ -183,7 +185,8 @@
 	choice := Choice{Server: chosen.ID, Cost: cost, Work: chosen.work, Quiet: chosen.quiet, Usable: len(b.options)}
 	if query.Engine {
 		choice.Uncached = chosen.uncached(query, sharedTokens(query.Parts))
-		choice.Wait = b.speed.reading(choice.Work.Prefill+choice.Uncached) + b.speed.base()
+		choice.Ahead = b.speed.reading(chosen.work.Prefill.upTo(query.Level))
+		choice.Wait = choice.Ahead + b.speed.reading(choice.Uncached) + b.speed.base()
 	}
 	return choice, true
 }
@@ -213,13 +216,15 @@
 // gather sets options to the members that are neither avoided nor out; where all are out, to those that are not avoided.
 func (b *Board) gather(now time.Time, query Query) {
 	b.options = b.options[:0]
+	done := b.readSince(now)
 	for _, out := range []bool{false, true} {
 		for _, each := range b.members {
 			if each.health.out(now) != out || slices.Contains(query.Avoid, each.ID) {
 				continue
 			}
-			each.work = each.own
-			each.work.add(each.remote)
+			each.work = each.remote
+			each.work.Prefill.drain(done)
+			each.work.add(each.own)
 			each.home, each.quiet, each.parts, each.held = homes, false, 0, 0
 			b.options = append(b.options, each)
 		}
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,13 +103,13 @@
 	t.Parallel()
 	is := is.New(t)
 	board := among(placement.New(1), engines(2))
-	busy := map[ident.Endpoint]placement.Work{"e0": {Active: 30, Prefill: 90_000, Memory: 100_000}}
+	busy := map[ident.Endpoint]placement.Work{"e0": {Active: 30, Prefill: placement.Reading{90_000}, Memory: 100_000}}
 	board.Hear(start, "peer", busy)
 	board.Hear(start, "peer", busy)
 	choice, _ := board.Pick(start, long)
 	is.Equal(choice.Server, ident.Endpoint("e1"))
 	is.Equal(choice.Work, placement.Work{})
-	board.Hear(start, "peer", map[ident.Endpoint]placement.Work{"e1": {Active: 30, Prefill: 90_000}})
+	board.Hear(start, "peer", map[ident.Endpoint]placement.Work{"e1": {Active: 30, Prefill: placement.Reading{90_000}}})
 	choice, _ = board.Pick(start, long)
 	is.Equal(choice.Server, ident.Endpoint("e0"))
 	is.Equal(choice.Work, placement.Work{})
@@ -116,6 +117,21 @@
 	is.Equal(choice.Work, placement.Work{})
 }
 
+// TestUrgentRequestsWaitForLess holds that prompts of less urgent requests are not counted as ahead.
+func TestUrgentRequestsWaitForLess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	board := among(placement.New(1), engines(1))
+	board.Hear(start, "peer", map[ident.Endpoint]placement.Work{"e0": {Prefill: placement.Reading{0, 1000, 50_000}}})
+	urgent, plain := long, long
+	urgent.Level, plain.Level = 1, 2
+	first, _ := board.Pick(start, urgent)
+	second, _ := board.Pick(start, plain)
+	is.Equal(first.Ahead*51, second.Ahead)
+	later, _ := board.Pick(start.Add(20*time.Millisecond), plain) // What a peer told has been read in part since.
+	is.True(later.Ahead < second.Ahead)
+}
+
 // TestUnreachableServerIsLeftOut holds that a server without connection gets no work for a while, unless all are so.
 func TestUnreachableServerIsLeftOut(t *testing.T) {
 	t.Parallel()
@@ -164,7 +180,7 @@
 				open = append(open[:ended], open[ended+1:]...)
 			}
 			for id, work := range board.Own() {
-				if work.Active < 0 || work.Prefill < 0 || work.Memory < 0 || work.Paced < 0 {
+				if work.Active < 0 || slices.Min(work.Prefill[:]) < 0 || work.Memory < 0 || work.Paced < 0 {
 					t.Fatalf("work of %s is below nothing: %+v", id, work)
 				}
 			}
@@ -186,7 +202,7 @@
 	for peer := range 20 {
 		work := make(map[ident.Endpoint]placement.Work)
 		for _, each := range list {
-			work[each.ID] = placement.Work{Active: peer % 5, Prefill: 500, Memory: 4000, Paced: peer % 2}
+			work[each.ID] = placement.Work{Active: peer % 5, Prefill: placement.Reading{0, 0, 500}, Memory: 4000, Paced: peer % 2}
 		}
 		board.Hear(start, ident.Process(fmt.Sprint("peer", peer)), work)
 	}
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -1,13 +1,20 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"vanillapond/pkg/ident"
+)
 
 // How many engines are kept for streams with short pauses.
 const (
-	// quietLoad is the part of an engine's slots that paced streams fill before another engine is kept for them.
-	quietLoad = 0.5
+	// minQuietLoad is the part of an engine's slots that paced streams fill before another engine is kept for them, and
+	// maxQuietLoad that part where the other engines are busy for busyTime: then they need every engine.
+	minQuietLoad = 0.3
+	maxQuietLoad = 0.7
+	busyTime     = 500 * time.Millisecond
 	// quietRoom is how many more paced streams are made room for than run: they come in bursts.
-	quietRoom = 1.3
+	quietRoom = 1.2
 	// minQuiet engines are kept so that the loss of one leaves another.
 	minQuiet = 2
 	// maxQuietShare is the part of all engines that may be kept.
@@ -29,19 +36,23 @@
 
 // mark chooses the engines for the paced streams that run and for an arriving one; every entry comes to nearly the same
 // choice, because all keep the servers in one order.
-func (q *quiet) mark(now time.Time, options []*server, arriving bool) {
+func (q *quiet) mark(now time.Time, options []*server, arriving bool, speed *speed) {
 	paced, slots := 0, 0
+	var waiting ident.Tokens
 	if arriving {
 		paced = 1
 	}
 	for _, each := range options {
 		paced += each.work.Paced
 		slots += each.Slots
+		waiting += each.work.Prefill.all()
 	}
 	if paced == 0 && q.engines == 0 {
 		return
 	}
-	perEngine := max(quietLoad*float64(slots)/float64(len(options)), 1)
+	busy := min(float64(speed.reading(waiting))/float64(len(options))/float64(busyTime), 1)
+	load := minQuietLoad + (maxQuietLoad-minQuietLoad)*busy
+	perEngine := max(load*float64(slots)/float64(len(options)), 1)
 	needed := max(int(quietRoom*float64(paced)/perEngine+1), minQuiet)
 	needed = min(needed, int(maxQuietShare*float64(len(options))))
 	switch {
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -16,8 +16,10 @@
 	firstBase = 25 * time.Millisecond
 	// minSample is how many tokens a prompt needs to tell the speed of reading.
 	minSample = 1500
-	// samplesKept is how many readings the estimate is the median of.
-	samplesKept = 31
+	// samplesKept is how many readings the estimate is taken from, and fastShare the place of the one that is taken in
+	// order of speed: work that is not known of makes readings slow, and nothing makes them fast.
+	samplesKept = 61
+	fastShare   = 0.85
 	// pacedPause is the pause below which a stream suffers from long prompts beside it.
 	pacedPause = 220 * time.Millisecond
 	// stallShare is the part of a paced stream's pause that reading prompts may take up.
@@ -51,7 +53,7 @@
 		s.next = (s.next + 1) % samplesKept
 	}
 	sorted := slices.Sorted(slices.Values(s.rates))
-	s.rate = max(sorted[len(sorted)/2], 1)
+	s.rate = max(sorted[int(fastShare*float64(len(sorted)-1))], 1)
 }
 
 // reading returns how long an engine reads tokens.
--- a/internal/request/placement/ticket.go
+++ b/internal/request/placement/ticket.go
@@ -11,6 +11,7 @@
 	board  *Board
 	server *server
 	work   Work
+	level  Level
 	sent   time.Time
 	// expected is when the first event was to come, after sent.
 	expected time.Duration
@@ -28,10 +29,11 @@
 	server := b.server(choice.Server)
 	ticket := &Ticket{
 		board: b, server: server, sent: now, expected: choice.Wait, work: Work{Active: 1},
-		alone: choice.Work.Prefill == 0, uncached: choice.Uncached,
+		alone: choice.Work.Prefill.all() == 0, uncached: choice.Uncached,
 	}
 	if query.Engine {
-		ticket.work.Prefill = choice.Uncached
+		ticket.level = query.Level
+		ticket.work.Prefill[query.Level] = choice.Uncached
 		ticket.work.Memory = query.Prompt + query.Output
 		if b.speed.fragile(query.MaxPause) {
 			ticket.work.Paced = 1
@@ -51,8 +53,8 @@
 		return
 	}
 	t.started = true
-	t.server.own.Prefill -= t.work.Prefill
-	t.work.Prefill = 0
+	t.server.own.Prefill[t.level] -= t.work.Prefill[t.level]
+	t.work.Prefill = Reading{}
 	if t.alone {
 		t.board.speed.observe(t.uncached, now.Sub(t.sent))
 	}
--- a/internal/request/placement/work.go
+++ b/internal/request/placement/work.go
@@ -6,12 +6,42 @@
 	"vanillapond/pkg/ident"
 )
 
+// Levels is how many urgencies an engine tells apart.
+const Levels = 10
+
+// Level is a request's urgency at an engine: 0 is first, and below Levels.
+type Level int
+
+// Reading is what engines have to read of prompts before requests can start, by level.
+type Reading [Levels]ident.Tokens
+
+// upTo returns what is read before a request of the level that comes now.
+func (r *Reading) upTo(level Level) ident.Tokens {
+	var sum ident.Tokens
+	for _, tokens := range r[:level+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+// all returns what is to be read at all levels.
+func (r *Reading) all() ident.Tokens { return r.upTo(Levels - 1) }
+
+// drain takes off tokens that have been read meanwhile, the most urgent first.
+func (r *Reading) drain(tokens ident.Tokens) {
+	for level := range r {
+		done := min(max(tokens, 0), max(r[level], 0))
+		r[level] -= done
+		tokens -= done
+	}
+}
+
 // Work is what requests in flight ask of a server.
 type Work struct {
 	// Active counts the requests that were sent and have not ended.
 	Active int `cbor:"1,keyasint,omitempty"`
-	// Prefill is the prompt tokens to be read before the requests without a first event can start.
-	Prefill ident.Tokens `cbor:"2,keyasint,omitempty"`
+	// Prefill is what is to be read for the requests without a first event.
+	Prefill Reading `cbor:"2,keyasint"`
 	// Memory is the tokens that the requests will hold at their end.
 	Memory ident.Tokens `cbor:"3,keyasint,omitempty"`
 	// Paced counts the streams that a long prompt beside them would make late.
@@ -20,16 +50,20 @@
 
 func (w *Work) add(other Work) {
 	w.Active += other.Active
-	w.Prefill += other.Prefill
 	w.Memory += other.Memory
 	w.Paced += other.Paced
+	for level, tokens := range other.Prefill {
+		w.Prefill[level] += tokens
+	}
 }
 
 func (w *Work) subtract(other Work) {
 	w.Active -= other.Active
-	w.Prefill -= other.Prefill
 	w.Memory -= other.Memory
 	w.Paced -= other.Paced
+	for level, tokens := range other.Prefill {
+		w.Prefill[level] -= tokens
+	}
 }
 
 // peer is what another entry has told of its own work.
@@ -71,6 +105,18 @@
 	}
 }
 
+// readSince returns how much of what peers told of an engine has read since they told it, on the mean; the caller holds mu.
+func (b *Board) readSince(now time.Time) ident.Tokens {
+	if len(b.peers) == 0 {
+		return 0
+	}
+	age := time.Duration(0)
+	for _, known := range b.peers {
+		age += now.Sub(known.at)
+	}
+	return ident.Tokens(milliseconds(age) / float64(len(b.peers)) * b.speed.rate)
+}
+
 // Own returns the entry's own work by server, without idle ones.
 func (b *Board) Own() map[ident.Endpoint]Work {
 	b.mu.Lock()
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -20,7 +20,7 @@
 	// minTell is the time between two messages to each peer, a few times the time in which an engine starts a request.
 	minTell = 100 * time.Millisecond
 	// tellPerPeer lengthens it, so that each entry gets and sends at most about a hundred messages a second.
-	tellPerPeer = 20 * time.Millisecond
+	tellPerPeer = 10 * time.Millisecond
 	// maxMessage bounds a datagram below the size at which networks split it badly.
 	maxMessage = 32 << 10
 )
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -125,12 +125,13 @@
 	pairs := []any{
 		"id", record.ID, "route", record.Route, "service", record.Service, "customer", record.Customer, "rank", int(record.Rank),
 		"outcome", record.Outcome, "status", record.Status, "reason", record.Reason, "first_ms", record.First.Milliseconds(),
-		"took_ms", record.Took.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
+		"objective_ms", record.Objective.Milliseconds(),
+		"pause_ms", record.Pause.Milliseconds(), "max_pause_ms", record.MaxPause.Milliseconds(), "took_ms", record.Took.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
 	for _, send := range record.Sends {
 		pairs = append(pairs,
 			"server", send.Choice.Server, "sent", send.Outcome, "sent_ms", send.Took.Milliseconds(), "usable", send.Choice.Usable,
-			"expected_ms", send.Choice.Wait.Milliseconds(), "active", send.Choice.Work.Active, "prefill", int64(send.Choice.Work.Prefill),
+			"expected_ms", send.Choice.Wait.Milliseconds(), "active", send.Choice.Work.Active, "ahead_ms", send.Choice.Ahead.Milliseconds(), "quiet", send.Choice.Quiet,
 			"paced", send.Choice.Work.Paced, "uncached", int64(send.Choice.Uncached))
 	}
 	r.journal.Log("request", pairs...)
