--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -15,8 +15,8 @@
 	lateFrom = 0.7
 	// rereadCost is what 1,000 shared tokens add that the engine has to read although another one holds them, and
 	// busyRereadCost what they add besides where all engines are busy: each token read again makes all others wait.
-	rereadCost     = 0.1
-	busyRereadCost = 0.5
+	rereadCost     = 0.25
+	busyRereadCost = 1.2
 	// stallCost is what each stream adds that reading beside it would make late; shorter readings add the cube of their
 	// part of that, because only several together make a stream late.
 	stallCost = 0.5
