--- /dev/null
+++ b/internal/connection/servers/servers_test.go
@@ -0,0 +1,95 @@
+package servers_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/connection/direct"
+	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/clock"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+const returnTime = 2 * time.Second
+
+// rig is a registry on a fake clock.
+type rig struct {
+	*servers.Registry
+	now clock.Reading
+}
+
+func newRig() *rig {
+	r := &rig{now: clock.Reading(time.Hour)}
+	r.Registry = servers.New(servers.Config{
+		NewPool:    func(server platform.Server) *direct.Pool { return direct.New(direct.Config{Address: server.Address}) },
+		ReturnTime: returnTime, Now: func() clock.Reading { return r.now },
+	})
+	return r
+}
+
+func entry(id ident.Endpoint, state platform.ServerState, born int64) platform.Server {
+	return platform.Server{ID: id, Service: "s", Address: "127.0.0.1:1", State: state, Born: born}
+}
+
+func (r *rig) ready() int {
+	list, _ := r.Ready("s")
+	return len(list)
+}
+
+// TestLeaving holds that a server that leaves or is gone gets no new work at once.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig()
+	is.True(!r.Listed())
+	r.Update([]platform.Server{entry("a", platform.ServerReady, 1), entry("b", platform.ServerReady, 1)}, nil, true)
+	is.True(r.Listed())
+	list, _ := r.Ready("s")
+	is.Equal(len(list), 2)
+	is.True(r.Takes(list[0]))
+	r.Update([]platform.Server{entry(list[0].ID, platform.ServerDraining, 1)}, nil, false)
+	is.True(!r.Takes(list[0]))
+	r.Update(nil, []ident.Endpoint{list[1].ID}, false)
+	is.True(!r.Takes(list[1]))
+	is.Equal(r.ready(), 0)
+}
+
+// TestBornAgain holds that a server that starts again under its id is another server.
+func TestBornAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig()
+	r.Update([]platform.Server{entry("a", platform.ServerReady, 1)}, nil, true)
+	before, generation := r.Ready("s")
+	r.Update([]platform.Server{entry("a", platform.ServerReady, 2)}, nil, false)
+	after, next := r.Ready("s")
+	is.True(!r.Takes(before[0]))
+	is.True(r.Takes(after[0]))
+	is.True(next != generation)
+}
+
+// TestEntriesMissingAfterAnOutage holds that servers whose entries lapsed while the store was away are used until they
+// had time to come back, and no longer.
+func TestEntriesMissingAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig()
+	both := []platform.Server{entry("a", platform.ServerReady, 1), entry("b", platform.ServerReady, 1)}
+	r.Update(both, nil, true)
+	r.Disturbed()
+	r.now = r.now.Add(time.Second)
+	r.Update(nil, nil, true)
+	is.Equal(r.ready(), 2)
+	r.Update(both[:1], nil, false)
+	r.now = r.now.Add(returnTime)
+	r.Sweep()
+	list, _ := r.Ready("s")
+	is.Equal(len(list), 1)
+	is.Equal(list[0].ID, ident.Endpoint("a"))
+	r.now = r.now.Add(time.Minute)
+	r.Update(nil, []ident.Endpoint{"a"}, false) // The store has been well for long: the server is gone.
+	is.Equal(r.ready(), 0)
+}
--- /dev/null
+++ b/internal/process/usage/usage_test.go
@@ -0,0 +1,171 @@
+package usage_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/lease"
+	"vanillapond/internal/process/table"
+	"vanillapond/internal/process/usage"
+	"vanillapond/pkg/ident"
+)
+
+const (
+	length = 5 * time.Second
+	late   = 10 * time.Second
+)
+
+// holder holds the lease while fence is above 0.
+type holder struct{ fence ident.Fence }
+
+func (h *holder) Check(clock.Reading, time.Duration) (lease.Grant, error) {
+	if h.fence == 0 {
+		return lease.Grant{}, lease.ErrNotHeld
+	}
+	return lease.Grant{Fence: h.fence}, nil
+}
+
+func (h *holder) Condition(lease.Grant) (table.Check, error) { return table.Check{Key: "lease/x"}, nil }
+func (h *holder) Now() clock.Reading                         { return 0 }
+
+// sent is one report.
+type sent struct {
+	fence  ident.Fence
+	window usage.Window
+	count  int64
+}
+
+// platform keeps reports, and loses the answers to the first ones.
+type platform struct {
+	reports []sent
+	lose    int
+}
+
+func (p *platform) Send(_ context.Context, fence ident.Fence, window usage.Window, counts map[ident.Customer]int64, _ time.Duration) error {
+	p.reports = append(p.reports, sent{fence, window, counts["c"]})
+	if len(p.reports) <= p.lose {
+		return table.ErrUnknown
+	}
+	return nil
+}
+
+// rig is a reporter on a fake clock.
+type rig struct {
+	*usage.Reporter
+	now     time.Time
+	holder  *holder
+	to      *platform
+	tallies []usage.Tally
+}
+
+func newRig(rows table.Table, to *platform, now time.Time, fence ident.Fence) *rig {
+	r := &rig{now: now, holder: &holder{fence: fence}, to: to}
+	r.Reporter = usage.NewReporter(usage.ReporterConfig{
+		Table: rows, Lease: r.holder, Reports: to, Beat: func() time.Duration { return time.Second }, Length: length, Late: late,
+		Gather: func(context.Context) ([]usage.Tally, error) { return r.tallies, nil },
+		Now:    func() time.Time { return r.now }, Log: func(string, ...any) {},
+	})
+	return r
+}
+
+// tally counts n requests in a window, told up to a time.
+func tally(window usage.Window, n int64, until time.Time) usage.Tally {
+	return usage.Tally{Counts: usage.Counts{window: {"c": n}}, Until: until}
+}
+
+// TestReportsOnce reports a window once all entries have told it, and once more only as an exact repeat.
+func TestReportsOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const window usage.Window = 1000
+	end := window.End(length)
+	rows := table.NewMemory()
+	to := &platform{lose: 1}
+	first := newRig(rows, to, end.Add(1500*time.Millisecond), 7)
+	run := func(r *rig, times int) {
+		for range times {
+			_ = r.Step(t.Context())
+		}
+	}
+	told := func() []sent {
+		var of []sent
+		for _, report := range to.reports {
+			if report.window == window {
+				of = append(of, report)
+			}
+		}
+		return of
+	}
+	first.tallies = []usage.Tally{tally(window, 3, end.Add(time.Second)), tally(window, 1, end.Add(-time.Second))}
+	run(first, 10)
+	is.Equal(len(told()), 0) // One entry has not told all of it.
+
+	first.tallies[1] = tally(window, 4, end.Add(time.Millisecond))
+	run(first, 10)
+	is.Equal(told()[0], sent{7, window, 7})
+
+	// A successor that sees other counts repeats what was frozen.
+	second := newRig(rows, to, end.Add(3*time.Second), 8)
+	second.tallies = []usage.Tally{tally(window, 99, end.Add(time.Second))}
+	run(second, 10)
+	for _, report := range told() {
+		is.Equal(report.count, int64(7))
+	}
+	is.Equal(told()[len(told())-1].fence, ident.Fence(8))
+
+	before := len(to.reports)
+	run(first, 0)
+	second.holder.fence = 0
+	run(second, 3)
+	is.Equal(len(to.reports), before) // Nothing is sent without the lease.
+}
+
+// TestWaitsNoLongerThanHalfTheTime closes a window although an entry that counted in it stays silent.
+func TestWaitsNoLongerThanHalfTheTime(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const window usage.Window = 1000
+	end := window.End(length)
+	to := &platform{}
+	r := newRig(table.NewMemory(), to, end.Add(4900*time.Millisecond), 1)
+	r.tallies = []usage.Tally{tally(window, 3, end.Add(time.Second)), tally(window, 1, end.Add(-time.Second))}
+	closed := func() bool {
+		for range 10 {
+			_ = r.Step(t.Context())
+		}
+		for _, report := range to.reports {
+			if report.window == window {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(!closed())
+	r.now = end.Add(5100 * time.Millisecond)
+	is.True(closed())
+}
+
+// TestCounter counts by window of true time and forgets old windows.
+func TestCounter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_784_000_000, 0)
+	counter := usage.NewCounter(length, func() time.Time { return now })
+	counter.Began("c")
+	counter.Began("c")
+	old := usage.WindowAt(now, length)
+	now = now.Add(length)
+	counter.Began("d")
+	counts := counter.Counts()
+	is.Equal(counts[old]["c"], int64(2))
+	is.Equal(counts[old+1]["d"], int64(1))
+	merged := counts.Merge(usage.Counts{old: {"c": 1, "e": 5}})
+	is.Equal(merged[old]["c"], int64(2))
+	is.Equal(merged[old]["e"], int64(5))
+	now = now.Add(20 * length)
+	is.Equal(len(counter.Counts()), 0)
+}
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -32,8 +32,6 @@
 	engines int
 	// enough is when fewer engines were last too few.
 	enough time.Time
-	// busy is the engines' mean backlog as a part of busyTime, at most 1.
-	busy float64
 }
 
 // mark chooses the engines for the paced streams that run and for an arriving one; every entry comes to nearly the same
@@ -49,11 +47,11 @@
 		slots += each.Slots
 		waiting += each.work.Prefill.all()
 	}
-	q.busy = min(float64(speed.reading(waiting))/float64(len(options))/float64(busyTime), 1)
 	if paced == 0 && q.engines == 0 {
 		return
 	}
-	load := minQuietLoad + (maxQuietLoad-minQuietLoad)*q.busy
+	busy := min(float64(speed.reading(waiting))/float64(len(options))/float64(busyTime), 1)
+	load := minQuietLoad + (maxQuietLoad-minQuietLoad)*busy
 	perEngine := max(load*float64(slots)/float64(len(options)), 1)
 	needed := max(int(quietRoom*float64(paced)/perEngine+1), minQuiet)
 	needed = min(needed, int(maxQuietShare*float64(len(options))))
