--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -122,7 +122,7 @@
 func (r *Response) readHead(request *Request) error {
 	method := &http.Request{Method: request.Method}
 	for strays := 0; ; {
-		answer, err := http.ReadResponse(r.conn.reader, method)
+		answer, err := http.ReadResponse(r.conn.reader, method) //nolint:bodyclose // Close ends or reuses the connection.
 		if err != nil {
 			return err
 		}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -170,7 +170,7 @@
 	defer r.mu.Unlock()
 	board := r.boards[service]
 	if board == nil {
-		board = placement.New(uint64(time.Now().UnixNano())) //nolint:gosec // Any seed does.
+		board = placement.New(uint64(time.Now().UnixNano()))
 		r.boards[service] = board
 	}
 	return board
