Take the waits of the feed and of reports from the settings; test routers over the stand-ins

Cause: with a shorter time for withdrawn keys than a question for a new configuration waited, keys were refused between two answers (TestKeysWithoutStore, failing first); with a lease as short as the time of one call no window was ever reported (TestUsage, failing first); a version that could not be read was passed over unlogged behind an older one (TestWholePath, failing first). Change: shares of the bounds in place of fixed times; each change of a batch is judged; leases are logged; admission by backlog.

--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -31,8 +31,8 @@
 	// patience is the part of the time until a report is due in which missing entries are waited for: the rest is for a
 	// new holder or an outage of the store.
 	patience = 0.5
-	// sendTimeout bounds one call; it is also how long the lease must last when the call is made.
-	sendTimeout = time.Second
+	// sendShare is the part of the lease's term that bounds one call, and for which the lease must last when it is made.
+	sendShare = 0.3
 )
 
 // Tally is what one entry has counted up to a moment of true time.
@@ -57,6 +57,7 @@
 	Check(now clock.Reading, guard time.Duration) (lease.Grant, error)
 	Condition(grant lease.Grant) (table.Check, error)
 	Now() clock.Reading
+	Term() time.Duration
 }
 
 // Reports takes finished windows.
@@ -112,7 +113,7 @@
 
 // Step reports the oldest window that is due, if the lease is held.
 func (r *Reporter) Step(ctx context.Context) error {
-	grant, err := r.config.Lease.Check(r.config.Lease.Now(), sendTimeout)
+	grant, err := r.config.Lease.Check(r.config.Lease.Now(), r.timeout())
 	if errors.Is(err, lease.ErrNotHeld) {
 		return nil
 	}
@@ -142,10 +143,10 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.config.Lease.Check(r.config.Lease.Now(), sendTimeout); err != nil {
+	if _, err := r.config.Lease.Check(r.config.Lease.Now(), r.timeout()); err != nil {
 		return err
 	}
-	if err := r.config.Reports.Send(ctx, grant.Fence, window, counts, sendTimeout); err != nil {
+	if err := r.config.Reports.Send(ctx, grant.Fence, window, counts, r.timeout()); err != nil {
 		return oops.Wrapf(err, "window %d", window)
 	}
 	r.config.Log("usage_reported", "window", window, "fence", grant.Fence, "customers", len(counts),
@@ -154,6 +155,11 @@
 	return nil
 }
 
+// timeout bounds one call.
+func (r *Reporter) timeout() time.Duration {
+	return time.Duration(sendShare * float64(r.config.Lease.Term()))
+}
+
 // freeze returns the figures of a window, which are the same for whoever asks, whenever.
 func (r *Reporter) freeze(ctx context.Context, grant lease.Grant, window Window) (map[ident.Customer]int64, error) {
 	key := frozenKey(window)
--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -30,6 +30,7 @@
 }
 
 func (h *holder) Condition(lease.Grant) (table.Check, error) { return table.Check{Key: "lease/x"}, nil }
+func (h *holder) Term() time.Duration                        { return time.Second }
 func (h *holder) Now() clock.Reading                         { return 0 }
 
 // sent is one report.
--- /dev/null
+++ b/internal/request/admission/admission.go
@@ -0,0 +1,54 @@
+// Package admission decides whether a request goes to its server now or is refused with a time to come back.
+//
+// It is pure: the caller gives what it knows and a random number.
+package admission
+
+import "time"
+
+// Bounds of admission.
+const (
+	// lateShare is the part of the objective that others' prompts may take up before a request is refused: with its own
+	// prompt and the way it would be late.
+	lateShare = 0.75
+	// returnShare is the part of the objective that may still be taken up when a refused request comes back.
+	returnShare = 0.4
+	// minReturn is the least time to come back after: some round trips, so that returns are no load of their own.
+	minReturn = 300 * time.Millisecond
+	// returnSpread is the part by which times to come back vary, so that those refused together do not return together.
+	returnSpread = 0.5
+)
+
+// Request is what is known of a request and of the best server for it.
+type Request struct {
+	// Ahead is how long the server reads prompts that go before the request.
+	Ahead time.Duration
+	// Objective is when the first bytes are due, counted from Waited ago.
+	Objective time.Duration
+	// Waited is how long the request has been here.
+	Waited time.Duration
+	// Random is between 0 and 1.
+	Random float64
+}
+
+// Verdict is what becomes of a request.
+type Verdict struct {
+	Admit bool
+	// ReturnAfter is when coming back may help; 0 if admitted.
+	ReturnAfter time.Duration
+}
+
+// Decide refuses a request that would be late because of what is ahead of it.
+//
+// Load pattern: a burst of one class beyond what the engines read. Served in order of arrival, every request of the
+// class is late; refused where the backlog is as long as the objective, those that are admitted are in time, and the
+// engines' time goes to them. A request's own size plays no part, so that large ones are not refused more often, and
+// less urgent prompts are not ahead, so that no request is refused for one of a lower rank.
+func Decide(request Request) Verdict {
+	if request.Objective <= 0 || request.Ahead+request.Waited <= part(lateShare, request.Objective) {
+		return Verdict{Admit: true}
+	}
+	after := max(request.Ahead-part(returnShare, request.Objective), minReturn)
+	return Verdict{ReturnAfter: after + part(returnSpread*request.Random, after)}
+}
+
+func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/outcome"
+	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
@@ -142,6 +144,16 @@
 		c.refuse(retryLater("no server takes work", noServerRetry))
 		return done
 	}
+	if c.query.Engine && c.servers == 0 {
+		verdict := admission.Decide(admission.Request{
+			Ahead: choice.Ahead, Objective: c.query.Objective, Waited: now.Sub(c.arrived), Random: rand.Float64(), //nolint:gosec // Spreads load only.
+		})
+		if !verdict.Admit {
+			c.record.Sends = append(c.record.Sends, Sent{Choice: choice, Outcome: "unsent"})
+			c.refuse(retryLater("servers are too busy", verdict.ReturnAfter))
+			return done
+		}
+	}
 	server := byID(ready, choice.Server)
 	if server == nil {
 		// Another request has brought a newer list to the board.
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -14,7 +14,7 @@
 	lateCost = 2.5
 	lateFrom = 0.7
 	// rereadCost is what 1,000 shared tokens add that the engine has to read although another one holds them, and
-	// busyRereadCost what they add besides where the engine is busy for busyTime: they make all others there wait.
+	// busyRereadCost what they add besides where all engines are busy for busyTime: they make all others wait.
 	rereadCost     = 0.25
 	busyRereadCost = 1.2
 	// stallCost is what each stream adds that reading beside it would make late; shorter readings add the cube of their
@@ -56,14 +56,14 @@
 		perPause = 1 / (stallShare * milliseconds(query.MaxPause))
 	}
 	size := query.Prompt + query.Output
-	perBusy := busyRereadCost / milliseconds(busyTime)
+	reread := (rereadCost + busyRereadCost*b.quiet.busy) / 1000
 	return func(each *server) float64 {
 		uncached := each.uncached(query, shared)
 		reading := float64(uncached) * perToken
 		ahead := float64(each.work.Prefill.upTo(query.Level)) * perToken
 		pending := float64(each.work.Prefill.all()) * perToken
 		cost := waitingCost((base+ahead+reading)*perObjective) +
-			(rereadCost+min(pending*perBusy, busyRereadCost))*float64(max(uncached-query.Prompt+shared, 0))/1000 + activeCost*float64(each.work.Active)
+			reread*float64(max(uncached-query.Prompt+shared, 0)) + activeCost*float64(each.work.Active)
 		if !each.Near {
 			cost += farEngineCost
 		}
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"vanillapond/pkg/ident"
-)
+import "time"
 
 // How many engines are kept for streams with short pauses.
 const (
@@ -32,26 +28,29 @@
 	engines int
 	// enough is when fewer engines were last too few.
 	enough time.Time
+	// busy is the mean of the engines' backlogs as parts of busyTime, each at most 1, so that one hot engine counts little.
+	busy float64
 }
 
 // mark chooses the engines for the paced streams that run and for an arriving one; every entry comes to nearly the same
 // choice, because all keep the servers in one order.
 func (q *quiet) mark(now time.Time, options []*server, arriving bool, speed *speed) {
 	paced, slots := 0, 0
-	var waiting ident.Tokens
+	busy := 0.0
+	full := float64(speed.tokens(busyTime))
 	if arriving {
 		paced = 1
 	}
 	for _, each := range options {
 		paced += each.work.Paced
 		slots += each.Slots
-		waiting += each.work.Prefill.all()
+		busy += min(float64(each.work.Prefill.all())/full, 1)
 	}
+	q.busy = busy / float64(len(options))
 	if paced == 0 && q.engines == 0 {
 		return
 	}
-	busy := min(float64(speed.reading(waiting))/float64(len(options))/float64(busyTime), 1)
-	load := minQuietLoad + (maxQuietLoad-minQuietLoad)*busy
+	load := minQuietLoad + (maxQuietLoad-minQuietLoad)*q.busy
 	perEngine := max(load*float64(slots)/float64(len(options)), 1)
 	needed := max(int(quietRoom*float64(paced)/perEngine+1), minQuiet)
 	needed = min(needed, int(maxQuietShare*float64(len(options))))
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -61,6 +61,11 @@
 	return time.Duration(float64(max(tokens, 0)) / s.rate * float64(time.Millisecond))
 }
 
+// tokens returns what an engine reads in a time.
+func (s *speed) tokens(time time.Duration) ident.Tokens {
+	return ident.Tokens(milliseconds(time) * s.rate)
+}
+
 // base returns the time to the first event besides reading.
 func (s *speed) base() time.Duration { return firstBase }
 
--- a/internal/request/placement/work.go
+++ b/internal/request/placement/work.go
@@ -114,7 +114,7 @@
 	for _, known := range b.peers {
 		age += now.Sub(known.at)
 	}
-	return ident.Tokens(milliseconds(age) / float64(len(b.peers)) * b.speed.rate)
+	return b.speed.tokens(age / time.Duration(len(b.peers)))
 }
 
 // Own returns the entry's own work by server, without idle ones.
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -36,7 +36,7 @@
 func (r *Router) run(ctx context.Context) {
 	loops := []func(context.Context){
 		func(ctx context.Context) {
-			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.OperatorTable, Wait: configWait, Apply: r.applyConfiguration, Failed: r.unread(platform.OperatorTable)})
+			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.OperatorTable, Wait: share(configShare, r.settings.Bounds.Revoke), Apply: r.applyConfiguration, Failed: r.unread(platform.OperatorTable)})
 		},
 		func(ctx context.Context) {
 			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.ServersTable, Wait: serversWait, Apply: r.applyServers, Failed: r.unread(platform.ServersTable)})
@@ -55,6 +55,20 @@
 	})
 	r.duties.Go(func() { r.lease.Run(duties) })
 	r.duties.Go(func() { reporter.Run(duties) })
+	r.duties.Go(func() { r.watchLease(duties) })
+}
+
+// watchLease tells when the duty is won and lost.
+func (r *Router) watchLease(ctx context.Context) {
+	for {
+		select {
+		case <-r.lease.Changed():
+			fence, _, held := r.lease.Held()
+			r.journal.Log("lease", "duty", dutyLease, "held", held, "fence", fence)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // unread logs a failed call that follows a table.
@@ -67,26 +81,36 @@
 
 // applyConfiguration takes over a version, and confirms the known one where nothing newer is there.
 func (r *Router) applyConfiguration(news follow.News) {
+	newest := true
 	for _, change := range news.Changes {
 		if change.Key != platform.OperatorTable+"/"+platform.ConfigurationKey || change.Deleted {
 			continue
 		}
-		configuration, err := platform.DecodeConfiguration(change.Value)
-		if err != nil {
-			r.journal.Log("configuration_unreadable", "revision", change.Revision, "kept", r.current.Version(), "err", err)
-			return
-		}
-		before := r.current.Version()
-		switch {
-		case r.current.Advance(configuration):
-			r.journal.Log("configuration", "version", configuration.Version, "before", before, "routes", len(configuration.Routes),
-				"services", len(configuration.Services), "customers", len(configuration.Customers), "revision", change.Revision)
-		case configuration.Version < before:
-			r.journal.Log("configuration_older", "version", configuration.Version, "kept", before, "revision", change.Revision)
-			return
-		}
+		newest = r.applyVersion(change)
+	}
+	if newest {
+		r.current.Confirm(news.Since, news.Revision)
+	}
+}
+
+// applyVersion takes over one version and reports whether the known one is as new as the store's.
+func (r *Router) applyVersion(change table.Change) bool {
+	configuration, err := platform.DecodeConfiguration(change.Value)
+	if err != nil {
+		r.journal.Log("configuration_unreadable", "revision", change.Revision, "kept", r.current.Version(), "err", err)
+		return false
+	}
+	before := r.current.Version()
+	if r.current.Advance(configuration) {
+		r.journal.Log("configuration", "version", configuration.Version, "before", before, "routes", len(configuration.Routes),
+			"services", len(configuration.Services), "customers", len(configuration.Customers), "revision", change.Revision)
+		return true
+	}
+	if configuration.Version < before {
+		r.journal.Log("configuration_older", "version", configuration.Version, "kept", before, "revision", change.Revision)
+		return false
 	}
-	r.current.Confirm(news.Since, news.Revision)
+	return true
 }
 
 // applyServers takes over servers' entries; one that cannot be read names no server to use.
@@ -166,7 +190,7 @@
 		reason = "no configuration yet"
 	case !r.servers.Listed():
 		reason = "no list of servers yet"
-	case age > unreadyAge:
+	case age > share(unreadyShare, r.settings.Bounds.Revoke):
 		reason = "configuration is old"
 	}
 	r.state.mu.Lock()
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -160,7 +160,7 @@
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Budget: r.budget,
 		Suspects: r.suspects, Usage: r.counter, Observe: r.observe,
-		KeyAge:  time.Duration(keyShare * float64(bounds.Revoke)),
+		KeyAge:  share(keyShare, bounds.Revoke),
 		DenyAge: bounds.ConfigApply,
 	})
 }
@@ -223,6 +223,14 @@
 	}
 	cancel()
 	r.cancel()
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	for _, each := range []*listener.Listener{r.ready, r.exposed} {
+		if each != nil {
+			each.Drain(ended)
+		}
+	}
+	r.loops.Wait()
 	r.journal.Log("stopped", "took", time.Since(began))
 	r.journal.Close(journalTimeout)
 }
--- /dev/null
+++ b/internal/role/router/router_test.go
@@ -0,0 +1,327 @@
+package router_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/role/router"
+	"vanillapond/internal/testport"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+	"vanillapond/platform/platformtest"
+)
+
+// rig is a platform with one or more routers.
+type rig struct {
+	store   *platformtest.Store
+	duties  *platformtest.Duties
+	routers []*router.Router
+	urls    []string
+	ready   []string
+	logs    []*logs
+}
+
+// logs keeps the lines of one router.
+type logs struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logs) Write(content []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(content)
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+const (
+	host    = "svc.example"
+	windows = time.Second
+	revoke  = 2 * time.Second
+)
+
+func configuration(version ident.Version, keys ...string) platform.Configuration {
+	return platform.Configuration{
+		Version: version,
+		Routes: []platform.Route{
+			{Name: "plain", Host: host, PathPrefix: "/p/", Kind: platform.Idempotent, Timeout: 3000, Service: "s", MaxServers: 2},
+			{Name: "open", Host: host, PathPrefix: "/o/", Kind: platform.Idempotent, Timeout: 3000, Service: "s", MaxServers: 2, Open: true},
+		},
+		Services:  []platform.Service{{Name: "s", MaxConnections: 50}},
+		Customers: []platform.Customer{{Name: "school", Keys: keys}},
+	}
+}
+
+// start runs routers before one server that answers with its name, after the time that the path's last part states.
+func start(t *testing.T, count int) *rig {
+	t.Helper()
+	r := &rig{store: platformtest.NewStore(), duties: platformtest.NewDuties()}
+	t.Cleanup(r.store.Close)
+	t.Cleanup(r.duties.Close)
+	r.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration(1, "right"))
+	r.serve(t, "i-1")
+	for index := range count {
+		settings := platform.Settings{
+			Process: ident.Process("front-" + string(rune('a'+index))), Address: "127.0.0.1", Domain: "a",
+			CallersAddress: address(t), ReadyAddress: address(t), PeerPort: netip.MustParseAddrPort(address(t)).Port(),
+			Store:  platform.StoreSettings{Address: r.store.Address()},
+			Duties: platform.DutySettings{Address: r.duties.Address()},
+			Bounds: platform.Bounds{
+				Grace: 6 * time.Second, ConfigApply: time.Second, Revoke: revoke, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
+				LeaseTerm: time.Second, UsageWindow: windows, UsageLate: 6 * time.Second,
+			},
+		}
+		log := &logs{}
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Log(log.String())
+			}
+		})
+		started, err := router.Start(t.Context(), router.Config{Settings: settings, Log: log})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.routers = append(r.routers, started)
+		r.urls = append(r.urls, "http://"+settings.CallersAddress)
+		r.ready = append(r.ready, "http://"+settings.ReadyAddress)
+		r.logs = append(r.logs, log)
+	}
+	for _, url := range r.ready {
+		eventually(t, "ready", func() bool { return status(url) == http.StatusOK })
+	}
+	return r
+}
+
+// address returns a free address.
+func address(t *testing.T) string {
+	t.Helper()
+	free, err := testport.Address()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return free
+}
+
+// serve starts a server and enters it.
+func (r *rig) serve(t *testing.T, id ident.Endpoint) *httptest.Server {
+	t.Helper()
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if wait, err := time.ParseDuration(q.URL.Path[strings.LastIndex(q.URL.Path, "/")+1:]); err == nil {
+			time.Sleep(wait)
+		}
+		w.Header().Set(platform.HeaderRequest, q.Header.Get(platform.HeaderRequest))
+		w.Header().Set(platform.HeaderSeal, "seal")
+		_, _ = io.WriteString(w, string(id))
+	}))
+	t.Cleanup(backend.Close)
+	r.enter(id, backend, platform.ServerReady)
+	return backend
+}
+
+func (r *rig) enter(id ident.Endpoint, backend *httptest.Server, state platform.ServerState) {
+	r.store.Put(platform.ServersTable, string(id), platform.Server{
+		Service: "s", Address: backend.Listener.Addr().String(), Domain: "a", State: state, Slots: 4, Born: 1,
+	})
+}
+
+// ask sends a request and returns status and body.
+func (r *rig) ask(entry int, path, key string) (int, string) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, r.urls[entry]+path, http.NoBody)
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = host
+	request.Header.Set(platform.HeaderRequest, "id")
+	request.Header.Set(platform.HeaderDeadline, "4000")
+	if key != "" {
+		request.Header.Set("Authorization", platform.KeyScheme+key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func status(url string) int {
+	response, err := http.Get(url) //nolint:noctx // A test's question.
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not so after ten seconds: %s", what)
+}
+
+func (r *rig) stop() {
+	var all sync.WaitGroup
+	for _, each := range r.routers {
+		all.Go(func() { each.Stop(context.Background()) })
+	}
+	all.Wait()
+}
+
+// TestWholePath follows one deployment from start to stop.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := start(t, 2)
+	code, body := r.ask(0, "/p/x", "right")
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, "i-1")
+
+	// A new version is in force everywhere, and the key that it takes away is refused.
+	r.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration(2, "other"))
+	for entry := range r.urls {
+		eventually(t, "withdrawn key refused", func() bool { code, _ := r.ask(entry, "/p/x", "right"); return code == http.StatusUnauthorized })
+	}
+	// An older one and one that cannot be read change nothing.
+	r.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration(1, "right"))
+	r.store.Put(platform.OperatorTable, platform.ConfigurationKey, []byte("{"))
+	time.Sleep(300 * time.Millisecond)
+	code, _ = r.ask(0, "/p/x", "right")
+	is.Equal(code, http.StatusUnauthorized)
+	r.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration(3, "right"))
+	eventually(t, "third version", func() bool { code, _ := r.ask(1, "/p/x", "right"); return code == http.StatusOK })
+
+	// A server that leaves gets nothing new; rows of others that cannot be read disturb nothing.
+	second := r.serve(t, "i-2")
+	eventually(t, "second server used", func() bool { _, body := r.ask(0, "/p/x", "right"); return body == "i-2" })
+	r.store.Put(platform.ServersTable, "i-3", []byte("\x00"))
+	r.enter("i-2", second, platform.ServerDraining)
+	eventually(t, "leaving server not used", func() bool {
+		for range 10 {
+			if _, body := r.ask(0, "/p/x", "right"); body != "i-1" {
+				return false
+			}
+		}
+		return true
+	})
+	for _, log := range r.logs {
+		eventually(t, "logged", func() bool { return strings.Contains(log.String(), "event=server_unreadable server=i-3") })
+		is.True(strings.Contains(log.String(), "event=configuration_unreadable"))
+		is.True(strings.Contains(log.String(), "event=configuration_older"))
+		is.True(!strings.Contains(log.String(), "right")) // No key is in any line.
+	}
+	r.stop()
+}
+
+// TestKeysWithoutStore holds that a router cut off from the store stops taking keys in time, serves open routes, and
+// takes keys again when the store is back.
+func TestKeysWithoutStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := start(t, 1)
+	code, _ := r.ask(0, "/p/x", "right")
+	is.Equal(code, http.StatusOK)
+	r.store.Fail(func(string, int) platformtest.Fault { return platformtest.Reset })
+	time.Sleep(revoke)
+	code, _ = r.ask(0, "/p/x", "right")
+	is.Equal(code, http.StatusServiceUnavailable)
+	code, _ = r.ask(0, "/p/x", "unknown")
+	is.Equal(code, http.StatusServiceUnavailable) // Not 401: the key may be new.
+	code, _ = r.ask(0, "/none/", "right")
+	is.Equal(code, http.StatusServiceUnavailable)
+	code, _ = r.ask(0, "/o/x", "")
+	is.Equal(code, http.StatusOK)
+	r.store.Heal()
+	eventually(t, "keys taken again", func() bool { code, _ := r.ask(0, "/p/x", "right"); return code == http.StatusOK })
+	r.stop()
+	is.True(strings.Contains(r.logs[0].String(), "event=store_lost"))
+	is.True(strings.Contains(r.logs[0].String(), "event=store_regained"))
+}
+
+// TestUsage holds that each window is reported with what began in it, never twice with other figures, though answers to
+// reports and to writes are lost.
+func TestUsage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := start(t, 2)
+	r.duties.LoseAnswers(func(reports int) bool { return reports%3 == 0 })
+	r.store.Fail(func(path string, calls int) platformtest.Fault {
+		if strings.HasSuffix(path, "tx") && calls%5 == 4 {
+			return platformtest.LoseAnswer
+		}
+		return 0
+	})
+	sent := int64(0)
+	for range 30 {
+		for entry := range r.urls {
+			if code, _ := r.ask(entry, "/p/x", "right"); code == http.StatusOK {
+				sent++
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	counted := func() int64 {
+		byWindow := make(map[int64]int64)
+		for _, report := range r.duties.Reports() {
+			before, found := byWindow[report.Window]
+			is.True(!found || before == report.Started["school"])
+			byWindow[report.Window] = report.Started["school"]
+		}
+		total := int64(0)
+		for _, count := range byWindow {
+			total += count
+		}
+		return total
+	}
+	eventually(t, "all reported", func() bool { return counted() == sent })
+	r.stop()
+}
+
+// TestStop holds that a stopping router says so, goes on taking requests for a while, and cuts none.
+func TestStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := start(t, 1)
+	type answer struct {
+		code int
+		body string
+	}
+	slow := make(chan answer, 1)
+	go func() {
+		code, body := r.ask(0, "/p/2s", "right")
+		slow <- answer{code, body}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.stop()
+	}()
+	eventually(t, "not ready", func() bool { return status(r.ready[0]) == http.StatusServiceUnavailable })
+	code, _ := r.ask(0, "/p/x", "right")
+	is.Equal(code, http.StatusOK)
+	is.Equal(<-slow, answer{http.StatusOK, "i-1"})
+	<-stopped
+	is.Equal(status(r.ready[0]), 0)
+}
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -6,9 +6,9 @@
 const (
 	// storeTimeout bounds a call to the store: some hundred times its usual answer, so that a slow one still comes.
 	storeTimeout = 1200 * time.Millisecond
-	// configWait is how long a question for a new configuration waits; it is also how old the knowledge may grow while
-	// all is well, so that it stays well below the time in which a withdrawn key must stop working.
-	configWait = 1800 * time.Millisecond
+	// configShare is the part of the time in which a withdrawn key must stop working for which a question for a new
+	// configuration waits: while all is well, the knowledge grows no older than that and a call.
+	configShare = 0.35
 	// serversWait is how long a question for changed servers waits; changes come at once.
 	serversWait = 5 * time.Second
 	// returnTime is how long servers have to enter themselves again after the store was away, with a little room.
@@ -33,9 +33,13 @@
 	stopReserve = 600 * time.Millisecond
 	// journalTimeout bounds the writing of the last log lines.
 	journalTimeout = 100 * time.Millisecond
-	// unreadyAge is how old the knowledge of the configuration is when a process asks for no new connections.
-	unreadyAge = 3 * time.Second
+	// unreadyShare is the part of the time in which a withdrawn key must stop working after which a process with old
+	// knowledge asks for no new connections; it still takes keys on those that it has.
+	unreadyShare = 0.6
 )
 
 // dutyLease names the lease of the process that reports usage.
 const dutyLease = "usage"
+
+// share returns a part of a time.
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
