--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"os/signal"
 	"runtime"
+	"syscall"
 
 	"vanillapond/internal/role/router"
 	"vanillapond/platform"
@@ -32,5 +34,18 @@
 	if err != nil {
 		return err
 	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go func() {
+		for {
+			select {
+			case <-hangup:
+				started.Reload(platform.LoadSettings(path))
+			case <-shell.ctx.Done():
+				return
+			}
+		}
+	}()
 	return serve(shell, started)
 }
--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -78,7 +78,7 @@
 	defaultIdle = 4 * time.Second
 	// onceIdle is how long a connection may be unused for a request that must not run twice: servers may drop idle
 	// connections without notice.
-	onceIdle = time.Second
+	onceIdle = 250 * time.Millisecond
 	// idleShare is the part of the server's stated timeout during which a connection is used again.
 	idleShare = 0.75
 )
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -53,9 +53,9 @@
 	Suspects Suspects
 	Usage    Usage
 	// KeyAge is how old the knowledge of the configuration may be where a key is trusted.
-	KeyAge time.Duration
+	KeyAge func() time.Duration
 	// DenyAge is how old it may be where a caller is told that a route or key does not exist.
-	DenyAge time.Duration
+	DenyAge func() time.Duration
 	// Observe is told of each ended request.
 	Observe func(Record)
 	// Now reads a clock that counts suspended time; nil means clock.Boot.
@@ -254,7 +254,7 @@
 	known := config.Current.Table()
 	route := known.Match(c.request.Host, c.request.URL.EscapedPath())
 	if route == nil {
-		if age > config.DenyAge {
+		if age > config.DenyAge() {
 			return retryLater("route is unknown and the configuration is old", time.Second)
 		}
 		return deny(http.StatusNotFound, "no such route")
@@ -269,7 +269,7 @@
 	}
 	customer := known.Customer(c.key)
 	switch {
-	case customer == nil && age > config.DenyAge, customer != nil && age > config.KeyAge:
+	case customer == nil && age > config.DenyAge(), customer != nil && age > config.KeyAge():
 		return retryLater("keys cannot be checked while the configuration is old", time.Second)
 	case customer == nil:
 		return deny(http.StatusUnauthorized, "no such key")
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -141,7 +141,11 @@
 	})
 	choice, found := board.Pick(now, c.query)
 	if !found {
-		c.refuse(retryLater("no server takes work", noServerRetry))
+		reason := "no server takes work"
+		if c.ran {
+			reason = "server gave no whole answer and no other takes work"
+		}
+		c.refuse(retryLater(reason, noServerRetry))
 		return done
 	}
 	if c.query.Engine && c.servers == 0 {
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -190,7 +190,7 @@
 		reason = "no configuration yet"
 	case !r.servers.Listed():
 		reason = "no list of servers yet"
-	case age > share(unreadyShare, r.settings.Bounds.Revoke):
+	case age > share(unreadyShare, r.bounds().Revoke):
 		reason = "configuration is old"
 	}
 	r.state.mu.Lock()
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -60,6 +61,8 @@
 	gossip      *gossip
 	told        told
 	state       state
+	// promised are the bounds of the newest settings; those that a part was built with stay as they are.
+	promised atomic.Pointer[platform.Bounds]
 	// cancel ends the loops, and loops waits for them.
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -92,6 +95,7 @@
 		settings: settings, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
 		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
 	}
+	r.promised.Store(&settings.Bounds)
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.dropped})
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
@@ -156,12 +160,11 @@
 }
 
 func (r *Router) forwarder() http.Handler {
-	bounds := r.settings.Bounds
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Budget: r.budget,
 		Suspects: r.suspects, Usage: r.counter, Observe: r.observe,
-		KeyAge:  share(keyShare, bounds.Revoke),
-		DenyAge: bounds.ConfigApply,
+		KeyAge:  func() time.Duration { return share(keyShare, r.bounds().Revoke) },
+		DenyAge: func() time.Duration { return r.bounds().ConfigApply },
 	})
 }
 
@@ -202,7 +205,7 @@
 // Stop ends the process without cutting a request that ends within the grace time.
 func (r *Router) Stop(ctx context.Context) {
 	began := time.Now()
-	grace := r.settings.Bounds.Grace
+	grace := r.bounds().Grace
 	r.journal.Log("stopping", "grace", grace)
 	r.state.leave()
 	r.callers.Leave()
