--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := bin/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build demo test lint format unit models scenarios measure
+.PHONY: build demo test lint format unit models scenarios soak measure
 
 build:
 	go build -o bin/vanillapond ./cmd/vanillapond
@@ -9,7 +9,7 @@
 demo:
 	go run ./cmd/vanillapond demo
 
-test: lint unit models scenarios
+test: lint unit models scenarios soak
 
 lint: $(GOLANGCI)
 	$(GOLANGCI) fmt --diff
@@ -19,7 +19,7 @@
 	$(GOLANGCI) fmt
 
 unit:
-	./scripts/gotest -race ./cmd/... ./examples/... ./internal/... ./pkg/...
+	./scripts/gotest -race ./cmd/... ./examples/... ./internal/... ./pkg/... ./platform/...
 
 models:
 	./scripts/gotest -run '^TestModel' ./internal/...
@@ -27,6 +27,10 @@
 scenarios:
 	./scripts/gotest ./scenario/...
 
+# Two seeds; go test ./soak -run Soak -first N -seeds 50 -timeout 60m runs more.
+soak:
+	./scripts/gotest ./soak/... -first 1 -seeds 2
+
 measure:
 	go test ./bench -run '^$$' -bench . -benchtime 1x -timeout 30m
 
