--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -18,7 +18,7 @@
 	// queueLines is how many lines wait for a slow reader: a second of the most that is written.
 	queueLines = 512
 	// linesPerSecond bounds each kind of line.
-	linesPerSecond = 60
+	linesPerSecond = 200
 	// flushInterval is how long lines are gathered into one write.
 	flushInterval = 200 * time.Millisecond
 )
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -164,7 +164,7 @@
 		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Budget: r.budget,
 		Suspects: r.suspects, Usage: r.counter, Observe: r.observe,
 		KeyAge:  func() time.Duration { return share(keyShare, r.bounds().Revoke) },
-		DenyAge: func() time.Duration { return r.bounds().ConfigApply },
+		DenyAge: func() time.Duration { return share(unreadyShare, r.bounds().Revoke) },
 	})
 }
 
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -7,8 +7,8 @@
 	// storeTimeout bounds a call to the store: some hundred times its usual answer, so that a slow one still comes.
 	storeTimeout = 1200 * time.Millisecond
 	// configShare is the part of the time in which a withdrawn key must stop working for which a question for a new
-	// configuration waits: while all is well, the knowledge grows no older than that and a call.
-	configShare = 0.35
+	// configuration waits. Knowledge counts from when a question was sent, so that it grows as old as two questions take.
+	configShare = 0.25
 	// serversWait is how long a question for changed servers waits; changes come at once.
 	serversWait = 5 * time.Second
 	// returnTime is how long servers have to enter themselves again after the store was away, with a little room.
@@ -35,6 +35,7 @@
 	journalTimeout = 100 * time.Millisecond
 	// unreadyShare is the part of the time in which a withdrawn key must stop working after which a process with old
 	// knowledge asks for no new connections; it still takes keys on those that it has.
+	// Such a process tells no caller that a route or key does not exist.
 	unreadyShare = 0.6
 )
 
