--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -28,6 +28,8 @@
 	// reads stay a small part of what the store bears.
 	minBeat      = time.Second
 	beatPerEntry = 100 * time.Millisecond
+	// writeShare is the part of the writes that the store takes which all rows together may use.
+	writeShare = 0.1
 	// readFactor is how many beats lie between two reads of all rows.
 	readFactor = 3
 	// lostBeats is how many beats a row stays unchanged before its entry counts as gone.
@@ -69,6 +71,10 @@
 	Process     ident.Process
 	Incarnation ident.Incarnation
 	Address     netip.AddrPort
+	// MaxBeat bounds the time between two writes, unless the store takes fewer; 0 means no bound.
+	MaxBeat time.Duration
+	// WritesPerSecond is what the store takes from all entries together; 0 means any number.
+	WritesPerSecond float64
 	// Usage returns the counts to be written with the row.
 	Usage func() usage.Counts
 	// Log takes events.
@@ -139,8 +145,18 @@
 }
 
 // Beat returns the time between two writes of the row.
-func (r *Registry) Beat() time.Duration {
-	return max(minBeat, time.Duration(r.Fleet())*beatPerEntry)
+func (r *Registry) Beat() time.Duration { return r.config.beat(r.Fleet()) }
+
+// beat returns the time between two writes of a row in a fleet of some size.
+func (c Config) beat(fleet int) time.Duration {
+	beat := max(minBeat, time.Duration(fleet)*beatPerEntry)
+	if c.MaxBeat > 0 {
+		beat = min(beat, c.MaxBeat)
+	}
+	if c.WritesPerSecond > 0 {
+		beat = max(beat, time.Duration(float64(fleet)/(writeShare*c.WritesPerSecond)*float64(time.Second)))
+	}
+	return beat
 }
 
 // Run writes the own row and reads all rows until the context is done.
@@ -230,7 +246,7 @@
 			delete(r.seen, key)
 		}
 	}
-	limit := lostBeats * max(minBeat, time.Duration(r.fleet)*beatPerEntry)
+	limit := lostBeats * r.config.beat(r.fleet)
 	var peers []Peer
 	var offsets []int64
 	for key, row := range rows {
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -159,8 +159,8 @@
 		}
 	}
 	server := byID(ready, choice.Server)
-	if server == nil {
-		// Another request has brought a newer list to the board.
+	if server == nil || !c.forwarder.config.Servers.Takes(server) {
+		// The list has changed since it was read.
 		return unreached
 	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -21,6 +21,8 @@
 	minTell = 100 * time.Millisecond
 	// tellPerPeer lengthens it, so that each entry gets and sends at most about a hundred messages a second.
 	tellPerPeer = 10 * time.Millisecond
+	// maxTell bounds it: a third of the time for which peers' figures count.
+	maxTell = time.Second
 	// maxMessage bounds a datagram below the size at which networks split it badly.
 	maxMessage = 32 << 10
 )
@@ -96,7 +98,7 @@
 func (g *gossip) tell(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := g.router.peers.Peers()
-		sleep(ctx, max(minTell, time.Duration(len(peers))*tellPerPeer))
+		sleep(ctx, min(max(minTell, time.Duration(len(peers))*tellPerPeer), maxTell))
 		if len(peers) == 0 {
 			continue
 		}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -121,6 +121,7 @@
 	r.peers = peers.New(peers.Config{
 		Table: r.store, Feed: r.store, Process: settings.Process, Incarnation: r.incarnation,
 		Address: netip.AddrPortFrom(address, settings.PeerPort), Usage: func() usage.Counts { return r.counter.Counts() }, Log: r.journal.Log,
+		MaxBeat: share(beatShare, settings.Bounds.UsageLate), WritesPerSecond: settings.Store.WritesPerSecond,
 	})
 	r.counter = usage.NewCounter(settings.Bounds.UsageWindow, r.peers.TrueTime)
 	r.lease = lease.New(lease.Config{
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -23,6 +23,8 @@
 	connectionShare = 0.8
 	// minConnections is the least number of connections to a server, whatever the fleet's size.
 	minConnections = 2
+	// beatShare is the part of the time in which usage is due that may pass between two writes of an entry's counts.
+	beatShare = 0.33
 	// dialTimeout bounds a new connection to a server.
 	dialTimeout = 500 * time.Millisecond
 	// callerWriteTimeout bounds how long a caller may leave bytes untaken.
