--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -16,7 +16,7 @@
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
 	// gatherTime is how long changes are gathered after some came, because they come many at a time.
-	gatherTime = 150 * time.Millisecond
+	gatherTime = 400 * time.Millisecond
 )
 
 // News is what a call brought.
