Take the last word on a server's row; a forgotten history is no outage; a body has a deadline

Found by reading: rows of one answer were sorted into present and removed, so that a server that lapsed and came back at once was dropped for good; after a forgotten history, servers that had left were kept for 2.3 s as if the store had been away. TestServerRows failed first on both.

--- a/internal/process/peers/beat_test.go
+++ b/internal/process/peers/beat_test.go
@@ -15,8 +15,12 @@
 		writes float64
 		beat   time.Duration
 	}{
-		{1, 400, time.Second}, {4, 400, time.Second}, {30, 1200, 3 * time.Second}, {300, 1200, 3300 * time.Millisecond},
-		{300, 400, 7500 * time.Millisecond}, {30, 0, 3 * time.Second},
+		{1, 400, time.Second},
+		{4, 400, time.Second},
+		{30, 1200, 3 * time.Second},
+		{300, 1200, 3300 * time.Millisecond},
+		{300, 400, 7500 * time.Millisecond},
+		{30, 0, 3 * time.Second},
 	} {
 		is := is.New(t)
 		is.Equal(Config{MaxBeat: 3300 * time.Millisecond, WritesPerSecond: c.writes}.beat(c.fleet), c.beat)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -224,6 +224,14 @@
 	if c.request.ContentLength == 0 {
 		return nil
 	}
+	// A body that is not in when the caller gives up is of no use; later reads watch for the caller leaving.
+	control := http.NewResponseController(c.writer)
+	left, stated := platform.Deadline(c.request.Header)
+	if !stated {
+		left = defaultDeadline
+	}
+	_ = control.SetReadDeadline(c.arrived.Add(left))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var err error
 	if c.request.ContentLength > 0 {
 		c.body = make([]byte, c.request.ContentLength)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -148,15 +148,10 @@
 		c.refuse(retryLater(reason, noServerRetry))
 		return done
 	}
-	if c.query.Engine && c.servers == 0 {
-		verdict := admission.Decide(admission.Request{
-			Ahead: choice.Ahead, Objective: c.query.Objective, Waited: now.Sub(c.arrived), Random: rand.Float64(), //nolint:gosec // Spreads load only.
-		})
-		if !verdict.Admit {
-			c.record.Sends = append(c.record.Sends, Sent{Choice: choice, Outcome: "unsent"})
-			c.refuse(retryLater("servers are too busy", verdict.ReturnAfter))
-			return done
-		}
+	if refused := c.tooBusy(now, choice); refused != nil {
+		c.record.Sends = append(c.record.Sends, Sent{Choice: choice, Outcome: "unsent"})
+		c.refuse(refused)
+		return done
 	}
 	server := byID(ready, choice.Server)
 	if server == nil || !c.forwarder.config.Servers.Takes(server) {
@@ -171,6 +166,21 @@
 	return result
 }
 
+// tooBusy refuses a new request that would be late at the best engine.
+func (c *call) tooBusy(now time.Time, choice placement.Choice) *refusal {
+	if !c.query.Engine || c.servers > 0 {
+		return nil
+	}
+	decided := admission.Decide(admission.Request{
+		Ahead: choice.Ahead, Objective: c.query.Objective, Waited: now.Sub(c.arrived),
+		Random: rand.Float64(), //nolint:gosec // Spreads load only.
+	})
+	if decided.Admit {
+		return nil
+	}
+	return retryLater("servers are too busy", decided.ReturnAfter)
+}
+
 var verdictNames = [...]string{"done", "unreached", "refused", "lost", "failed", "interrupted"}
 
 func (c *call) candidates(ready []*servers.Server, known *routes.Table) []placement.Candidate {
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,7 +14,6 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/follow"
-	"vanillapond/internal/process/journal"
 	"vanillapond/internal/process/table"
 	"vanillapond/internal/process/usage"
 	"vanillapond/pkg/ident"
@@ -21,7 +22,6 @@
 
 // state is whether the process wants new connections, and whether its dependencies answer.
 type state struct {
-	journal *journal.Journal
 	leaving atomic.Bool
 	mu      sync.Mutex
 	// lost says that the store's last call failed; guarded by mu.
@@ -34,18 +34,26 @@
 
 // run starts the loops.
 func (r *Router) run(ctx context.Context) {
+	configWait := share(configShare, r.settings.Bounds.Revoke)
 	loops := []func(context.Context){
-		func(ctx context.Context) {
-			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.OperatorTable, Wait: share(configShare, r.settings.Bounds.Revoke), Apply: r.applyConfiguration, Failed: r.unread(platform.OperatorTable)})
-		},
-		func(ctx context.Context) {
-			follow.Run(ctx, follow.Config{Feed: r.store, Table: platform.ServersTable, Wait: serversWait, Apply: r.applyServers, Failed: r.unread(platform.ServersTable)})
-		},
+		r.follow(platform.OperatorTable, configWait, r.applyConfiguration),
+		r.follow(platform.ServersTable, serversWait, r.applyServers),
 		r.peers.Run, r.sweep, r.gossip.listen, r.gossip.tell,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
 	}
+	r.runDuties(ctx)
+}
+
+// follow returns a loop that follows a table.
+func (r *Router) follow(name string, wait time.Duration, apply func(follow.News)) func(context.Context) {
+	config := follow.Config{Feed: r.store, Table: name, Wait: wait, Apply: apply, Failed: r.unread(name)}
+	return func(ctx context.Context) { follow.Run(ctx, config) }
+}
+
+// runDuties starts the loops that end first when the process stops.
+func (r *Router) runDuties(ctx context.Context) {
 	duties, cancel := context.WithCancel(ctx)
 	r.cancelDuties = cancel
 	reporter := usage.NewReporter(usage.ReporterConfig{
@@ -74,7 +82,10 @@
 // unread logs a failed call that follows a table.
 func (r *Router) unread(name string) func(error) {
 	return func(err error) {
-		r.servers.Disturbed()
+		if !errors.Is(err, table.ErrForgotten) {
+			// Entries lapse only while the store is away, not when it forgets its history.
+			r.servers.Disturbed()
+		}
 		r.journal.Log("feed_failed", "table", name, "config_age", r.configAge(), "err", err)
 	}
 }
@@ -113,25 +124,28 @@
 	return true
 }
 
-// applyServers takes over servers' entries; one that cannot be read names no server to use.
+// applyServers takes over the last word on each server's entry; one that cannot be read names no server to use.
 func (r *Router) applyServers(news follow.News) {
-	var present []platform.Server
-	var removed []ident.Endpoint
+	present := make(map[ident.Endpoint]platform.Server)
+	removed := make(map[ident.Endpoint]bool)
 	for _, change := range news.Changes {
 		id := ident.Endpoint(strings.TrimPrefix(string(change.Key), platform.ServersTable+"/"))
+		delete(present, id)
+		delete(removed, id)
 		if change.Deleted {
-			removed = append(removed, id)
+			removed[id] = true
 			continue
 		}
 		server, err := platform.DecodeServer(id, change.Value)
 		if err != nil {
 			r.journal.Log("server_unreadable", "server", id, "revision", change.Revision, "err", err)
-			removed = append(removed, id)
+			removed[id] = true
 			continue
 		}
-		present = append(present, server)
+		present[id] = server
 	}
-	r.logServers(r.servers.Update(present, removed, news.Whole))
+	entries, gone := slices.Collect(maps.Values(present)), slices.Collect(maps.Keys(removed))
+	r.logServers(r.servers.Update(entries, gone, news.Whole))
 }
 
 func (r *Router) logServers(events []servers.Event) {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -109,7 +109,6 @@
 
 func (r *Router) assemble(ctx context.Context, config Config) error {
 	settings := r.settings
-	r.state.journal = r.journal
 	r.store = platform.NewStore(platform.StoreConfig{
 		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStore,
 	})
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -239,6 +239,29 @@
 	r.stop()
 }
 
+// TestServerRows holds that the last word on a row counts, and that a server that left unheard is not used for longer
+// than it takes to list the servers again.
+func TestServerRows(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := start(t, 1)
+	r.serve(t, "i-2")
+	uses := func(id string) func() bool {
+		return func() bool { _, body := r.ask(0, "/p/x", "right"); return body == id }
+	}
+	eventually(t, "second server used", uses("i-2"))
+	r.store.Replace(platform.ServersTable, "i-2")
+	time.Sleep(time.Second)
+	eventually(t, "server that came back used", uses("i-2"))
+
+	r.store.DeleteUnheard(platform.ServersTable, "i-2")
+	time.Sleep(1500 * time.Millisecond)
+	for range 20 {
+		is.True(uses("i-1")())
+	}
+	r.stop()
+}
+
 // TestKeysWithoutStore holds that a router cut off from the store stops taking keys in time, serves open routes, and
 // takes keys again when the store is back.
 func TestKeysWithoutStore(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -126,12 +126,12 @@
 	for time.Now().Before(until) {
 		index := w.random.IntN(routers)
 		n := w.nodes[index]
-		switch w.random.IntN(9) {
+		switch w.random.IntN(11) {
 		case 0:
 			n.store.set(mode(1 + w.random.IntN(int(modes)-1)))
 			n.touch()
 			later(func() { n.touch(); n.store.set(pass) })
-		case 1:
+		case 1, 9, 10:
 			p := w.hosts[w.random.IntN(len(w.hosts))].proxy
 			p.set(mode(1 + w.random.IntN(int(modes)-1)))
 			later(func() { p.set(pass) })
@@ -144,7 +144,7 @@
 		case 5:
 			w.withdraw()
 		case 6:
-			w.leave(w.random.IntN(len(w.hosts)))
+			w.leave(w.random.IntN(len(w.hosts)), w.random.IntN(2) == 0, later)
 		case 7:
 			fault := platformtest.Fault(1 + w.random.IntN(int(platformtest.Garble)))
 			w.store.Fail(func(_ string, calls int) platformtest.Fault {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -38,6 +38,7 @@
 	backends   = 3
 	parts      = 12
 	partPause  = 15 * time.Millisecond
+	wholeTime  = 60 * time.Millisecond
 	callers    = 12
 	callerWait = 2500
 )
@@ -171,16 +172,20 @@
 	w.store.Put(platform.ServersTable, string(b.id), platform.Server{Service: "s", Address: b.proxy.address(), Domain: "a", State: state, Slots: 20, Born: 1})
 }
 
-// leave lets a server say that it leaves, and come back as another one.
-func (w *world) leave(index int) {
+// leave lets a server leave, and come back as another one; some servers say so first, others are gone at once.
+func (w *world) leave(index int, says bool, later func(func())) {
 	b := w.hosts[index]
-	w.enter(b, platform.ServerDraining)
+	remove := func() { w.store.Delete(platform.ServersTable, string(b.id)) }
+	if says {
+		w.enter(b, platform.ServerDraining)
+		later(remove)
+	} else {
+		remove()
+	}
 	w.mu.Lock()
 	w.left[b.id] = time.Now()
 	next := ident.Endpoint("i-" + strconv.Itoa(len(w.left)+backends-1))
 	w.mu.Unlock()
-	time.Sleep(100 * time.Millisecond)
-	w.store.Delete(platform.ServersTable, string(b.id))
 	w.addBackend(next)
 	last := len(w.hosts) - 1
 	w.hosts[index], w.hosts = w.hosts[last], w.hosts[:last]
@@ -202,7 +207,7 @@
 	wr.Header().Set(platform.HeaderRequest, request)
 	wr.Header().Set(platform.HeaderSeal, "seal")
 	if !strings.HasPrefix(r.URL.Path, "/flow/") && !strings.HasPrefix(r.URL.Path, "/again/") {
-		time.Sleep(partPause)
+		time.Sleep(wholeTime)
 		_, _ = io.WriteString(wr, "whole "+request)
 		return
 	}
