--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -8,6 +8,9 @@
 
 // Costs at an engine.
 const (
+	// countedShare is the part of known reading that costs count: engines read on while figures travel, so that what is
+	// known is always more than what is left.
+	countedShare = 0.65
 	// waitCost is what a wait as long as the objective adds; lateCost is what each further objective adds from lateFrom
 	// on, because the estimate is rough.
 	waitCost = 0.15
@@ -43,7 +46,7 @@
 func (b *Board) engineWeigher(query Query) func(*server) float64 {
 	shared := sharedTokens(query.Parts)
 	fragile := b.speed.fragile(query.MaxPause)
-	perToken := 1 / b.speed.rate
+	perToken := countedShare / b.speed.rate
 	base := milliseconds(b.speed.base())
 	objective := milliseconds(query.Objective)
 	if objective <= 0 {
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -37,7 +37,7 @@
 func (q *quiet) mark(now time.Time, options []*server, arriving bool, speed *speed) {
 	paced, slots := 0, 0
 	busy := 0.0
-	full := float64(speed.tokens(busyTime))
+	full := float64(speed.tokens(busyTime)) / countedShare
 	if arriving {
 		paced = 1
 	}
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -11,11 +11,11 @@
 // What is assumed of engines until their speed has been seen, and how it is learned.
 const (
 	// firstRate is the prompt tokens read in a millisecond, on the slow side of present engines.
-	firstRate = 25.0
+	firstRate = 16.0
 	// firstBase is the time to the first event of a short prompt.
-	firstBase = 25 * time.Millisecond
+	firstBase = 15 * time.Millisecond
 	// minSample is how many tokens a prompt needs to tell the speed of reading.
-	minSample = 1500
+	minSample = 3000
 	// samplesKept is how many readings the estimate is taken from, and fastShare the place of the one that is taken in
 	// order of speed: work that is not known of makes readings slow, and nothing makes them fast.
 	samplesKept = 61
--- a/internal/request/placement/ticket.go
+++ b/internal/request/placement/ticket.go
@@ -16,8 +16,9 @@
 	// expected is when the first event was to come, after sent.
 	expected time.Duration
 	// alone says that nothing else was to be read by the server, so that the first event tells its speed.
-	alone    bool
-	uncached ident.Tokens
+	alone bool
+	// unshared is the part of the prompt that the server surely has to read.
+	unshared ident.Tokens
 	started  bool
 	ended    bool
 }
@@ -29,7 +30,7 @@
 	server := b.server(choice.Server)
 	ticket := &Ticket{
 		board: b, server: server, sent: now, expected: choice.Wait, work: Work{Active: 1},
-		alone: choice.Work.Prefill.all() == 0, uncached: choice.Uncached,
+		alone: choice.Work.Prefill.all() == 0, unshared: query.Prompt - sharedTokens(query.Parts),
 	}
 	if query.Engine {
 		ticket.level = query.Level
@@ -56,7 +57,7 @@
 	t.server.own.Prefill[t.level] -= t.work.Prefill[t.level]
 	t.work.Prefill = Reading{}
 	if t.alone {
-		t.board.speed.observe(t.uncached, now.Sub(t.sent))
+		t.board.speed.observe(t.unshared, now.Sub(t.sent))
 	}
 }
 
