--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,7 +31,11 @@
 )
 
 // regressions are seeds that once failed, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	// The stand-in's answers lost a change that came as the question's wait ended, so that servers that had left and keys that
+	// had been withdrawn stayed in force until the next change (TestNoChangeIsLost).
+	6, 14, 16, 17, 21, 1003, 1017, 1021,
+}
 
 // TestSoak runs each seed.
 func TestSoak(t *testing.T) {
