Find dead connections to the store in time, and hold missing servers only after an outage

Cause: a question for changed servers waits up to 5 s; when its connection was dead, the router found out after 6.2 s. Then it took that one failed call for an outage of the store and used servers that had left for 2.3 s more.

--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -15,16 +15,20 @@
 type Server struct {
 	platform.Server
 	Pool *direct.Pool
-	// lapsing is when the server is forgotten because its entry is missing; 0 while the entry is there.
-	lapsing clock.Reading
+	// missing says that the entry is not there and may come back after an outage of the store.
+	missing bool
 }
 
 // Config says how servers are reached and forgotten.
 type Config struct {
 	// NewPool returns the connections to a server.
 	NewPool func(server platform.Server) *direct.Pool
-	// ReturnTime is how long a server whose entry is missing after the store was away is still used.
+	// ReturnTime is how long after the store's return from an outage a server whose entry is missing is still used.
 	ReturnTime time.Duration
+	// Contact is how long after the store's return a server that has left may still be used at most; 0 means unknown.
+	Contact time.Duration
+	// OutageTime is how long the store must have answered nothing for entries of living servers to have lapsed.
+	OutageTime time.Duration
 	// Now reads the clock; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -41,8 +45,8 @@
 	generation uint64
 	// listed says that the servers were listed once; guarded by mu.
 	listed bool
-	// disturbed is when the store last failed to answer; guarded by mu.
-	disturbed clock.Reading
+	// store tells of the store's outages; guarded by mu.
+	store outage
 }
 
 // New returns an empty registry.
@@ -86,11 +90,11 @@
 	return len(r.known), ready
 }
 
-// Disturbed notes that the store did not answer: entries that are missing from now on may be back soon.
-func (r *Registry) Disturbed() {
+// ObserveStore notes how long a call to the store took and whether it was answered: entries may lapse while none is.
+func (r *Registry) ObserveStore(took time.Duration, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.disturbed = r.config.Now()
+	r.store.observe(r.config.Now(), took, answered, r.config)
 }
 
 // Event is a change of what the registry believes.
@@ -141,7 +145,7 @@
 	switch {
 	case old.State != entry.State:
 		name = "leaving"
-	case old.lapsing != 0:
+	case old.missing:
 		name = "returned"
 	}
 	// A new value, because requests read the old one without the lock.
@@ -152,15 +156,14 @@
 	return append(events, Event{Name: name, Server: entry})
 }
 
-// miss notes that an entry is missing; after a disturbance of the store it may come back. The caller holds mu.
+// miss notes that an entry is missing; after an outage of the store it may come back. The caller holds mu.
 func (r *Registry) miss(events []Event, id ident.Endpoint) []Event {
 	old := r.known[id]
-	if old == nil || old.lapsing != 0 {
+	if old == nil || old.missing {
 		return events
 	}
-	now := r.config.Now()
-	if r.disturbed != 0 && now.Sub(r.disturbed) < r.config.ReturnTime && old.State == platform.ServerReady {
-		r.known[id] = &Server{Server: old.Server, Pool: old.Pool, lapsing: now.Add(r.config.ReturnTime)}
+	if old.State == platform.ServerReady && r.store.excuses(r.config.Now(), r.config) {
+		r.known[id] = &Server{Server: old.Server, Pool: old.Pool, missing: true}
 		return append(events, Event{Name: "missing", Server: old.Server})
 	}
 	return r.drop(events, id)
@@ -178,10 +181,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var events []Event
-	now := r.config.Now()
 	wall := time.Now()
+	late := !r.store.excuses(r.config.Now(), r.config)
 	for id, server := range r.known {
-		if server.lapsing != 0 && now >= server.lapsing {
+		if server.missing && late {
 			events = r.drop(events, id)
 			continue
 		}
--- a/internal/connection/servers/servers_test.go
+++ b/internal/connection/servers/servers_test.go
@@ -13,7 +13,11 @@
 	"vanillapond/platform"
 )
 
-const returnTime = 2 * time.Second
+const (
+	returnTime = 2 * time.Second
+	outageTime = 3 * time.Second
+	contact    = 4 * time.Second
+)
 
 // rig is a registry on a fake clock.
 type rig struct {
@@ -25,7 +29,7 @@
 	r := &rig{now: clock.Reading(time.Hour)}
 	r.Registry = servers.New(servers.Config{
 		NewPool:    func(server platform.Server) *direct.Pool { return direct.New(direct.Config{Address: server.Address}) },
-		ReturnTime: returnTime, Now: func() clock.Reading { return r.now },
+		ReturnTime: returnTime, OutageTime: outageTime, Contact: contact, Now: func() clock.Reading { return r.now },
 	})
 	return r
 }
@@ -72,24 +76,67 @@
 }
 
 // TestEntriesMissingAfterAnOutage holds that servers whose entries lapsed while the store was away are used until they
-// had time to come back, and no longer.
+// had time to come back since its return, and no longer.
 func TestEntriesMissingAfterAnOutage(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	r := newRig()
 	both := []platform.Server{entry("a", platform.ServerReady, 1), entry("b", platform.ServerReady, 1)}
+	r.ObserveStore(0, true)
 	r.Update(both, nil, true)
-	r.Disturbed()
-	r.now = r.now.Add(time.Second)
+	r.ObserveStore(0, false)
+	r.now = r.now.Add(outageTime)
+	r.ObserveStore(0, false)
+	r.ObserveStore(0, true)
+	r.now = r.now.Add(returnTime / 2)
+	r.ObserveStore(0, true)
 	r.Update(nil, nil, true)
 	is.Equal(r.ready(), 2)
 	r.Update(both[:1], nil, false)
-	r.now = r.now.Add(returnTime)
+	r.now = r.now.Add(returnTime / 2)
 	r.Sweep()
 	list, _ := r.Ready("s")
 	is.Equal(len(list), 1)
 	is.Equal(list[0].ID, ident.Endpoint("a"))
-	r.now = r.now.Add(time.Minute)
-	r.Update(nil, []ident.Endpoint{"a"}, false) // The store has been well for long: the server is gone.
+	r.Update(nil, []ident.Endpoint{"a"}, false) // The time to come back is over: the server is gone.
+	is.Equal(r.ready(), 0)
+}
+
+// TestEntriesMissingWithoutAnOutage holds that failed calls alone excuse no missing entry: entries lapse only while the store
+// answers nobody for a while.
+func TestEntriesMissingWithoutAnOutage(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig()
+	r.ObserveStore(0, true)
+	r.Update([]platform.Server{entry("a", platform.ServerReady, 1), entry("b", platform.ServerReady, 1)}, nil, true)
+	for range 10 {
+		r.now = r.now.Add(outageTime / 2)
+		r.ObserveStore(0, false)
+		r.ObserveStore(0, true)
+	}
+	r.Update(nil, []ident.Endpoint{"a"}, false)
+	is.Equal(r.ready(), 1)
+	r.now = r.now.Add(2 * outageTime) // A question that waits long without a failure is no outage.
+	r.ObserveStore(0, true)
+	r.Update(nil, nil, true)
+	is.Equal(r.ready(), 0)
+}
+
+// TestOutageFoundLate holds that the time in which missing servers are used counts from when the store may have been back, not
+// from when a process that waited for a lost answer has found it back.
+func TestOutageFoundLate(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newRig()
+	r.ObserveStore(0, true)
+	r.Update([]platform.Server{entry("a", platform.ServerReady, 1)}, nil, true)
+	r.now = r.now.Add(outageTime + contact)
+	r.ObserveStore(contact-time.Second, false)
+	r.ObserveStore(0, true)
+	r.Update(nil, nil, true)
+	is.Equal(r.ready(), 1)
+	r.now = r.now.Add(time.Second)
+	r.Sweep()
 	is.Equal(r.ready(), 0)
 }
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -39,6 +39,9 @@
 	Apply func(News)
 	// Failed is told of each failed call; nil means that nobody is.
 	Failed func(error)
+	// Regained returns a channel that is closed when the store answers other calls again, which ends the wait after a failed
+	// one; nil means that nothing does.
+	Regained func() <-chan struct{}
 	// Now reads the clock; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -51,22 +54,26 @@
 	if config.Failed == nil {
 		config.Failed = func(error) {}
 	}
+	if config.Regained == nil {
+		config.Regained = func() <-chan struct{} { return nil }
+	}
 	follower := follower{config: config}
 	retry := firstRetry
 	for ctx.Err() == nil {
+		regained := config.Regained()
 		changed, err := follower.step(ctx)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
 			config.Failed(err)
-			pause(ctx, retry)
+			pause(ctx, retry, regained)
 			retry = min(2*retry, lastRetry)
 			continue
 		}
 		retry = firstRetry
 		if changed && config.Gather > 0 {
-			pause(ctx, config.Gather)
+			pause(ctx, config.Gather, nil)
 		}
 	}
 }
@@ -99,12 +106,13 @@
 	return len(news.Changes) > 0, nil
 }
 
-// pause waits for about the given time, spread so that processes do not come back in step.
-func pause(ctx context.Context, wait time.Duration) {
+// pause waits for about the given time, spread so that processes do not come back in step, or until the channel is closed.
+func pause(ctx context.Context, wait time.Duration, early <-chan struct{}) {
 	timer := time.NewTimer(wait/2 + rand.N(wait)) //nolint:gosec // Spreads load only.
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-early:
 	case <-ctx.Done():
 	}
 }
--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -75,3 +75,33 @@
 		is.Equal(failures, 3)
 	})
 }
+
+// TestRegained holds that a follower whose calls failed asks again as soon as other calls are answered.
+func TestRegained(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		begun := time.Now()
+		regained := make(chan struct{})
+		var back, answered time.Duration
+		away := func(table.Revision, bool) (table.Batch, error) { return table.Batch{}, errors.New("away") }
+		answer := func(table.Revision, bool) (table.Batch, error) {
+			answered = time.Since(begun)
+			return table.Batch{Revision: 1}, nil
+		}
+		last := func(table.Revision, bool) (table.Batch, error) {
+			time.AfterFunc(10*time.Millisecond, func() {
+				back = time.Since(begun)
+				close(regained)
+			})
+			return table.Batch{}, errors.New("away")
+		}
+		feed := &scripted{t: t, done: cancel, calls: []func(table.Revision, bool) (table.Batch, error){away, away, away, away, last, answer}}
+		follow.Run(ctx, follow.Config{
+			Feed: feed, Table: "t", Regained: func() <-chan struct{} { return regained }, Apply: func(follow.News) {},
+			Now: func() clock.Reading { return clock.Reading(time.Since(begun)) },
+		})
+		is.Equal(answered, back)
+	})
+}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -26,19 +26,41 @@
 	mu      sync.Mutex
 	// lost says that the store's last call failed; guarded by mu.
 	lost bool
+	// regained is closed when the store answers again; guarded by mu.
+	regained chan struct{}
 	// ready is the last answer to the balancer; guarded by mu.
 	ready bool
 }
 
 func (s *state) leave() { s.leaving.Store(true) }
 
+// storeRegained returns a channel that is closed when the store answers again.
+func (s *state) storeRegained() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.regained
+}
+
+// storeAnswered notes whether a call to the store was answered, and reports whether that is a change.
+func (s *state) storeAnswered(answered bool) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed = s.lost == answered
+	s.lost = !answered
+	if changed && answered {
+		close(s.regained)
+		s.regained = make(chan struct{})
+	}
+	return changed
+}
+
 // run starts the loops.
 func (r *Router) run(ctx context.Context) {
 	configWait := share(configShare, r.settings.Bounds.Revoke)
 	loops := []func(context.Context){
 		// A pause before the next question would make the knowledge of the configuration older.
 		r.follow(platform.OperatorTable, configWait, 0, r.applyConfiguration),
-		r.follow(platform.ServersTable, serversWait, serversGather, r.applyServers),
+		r.follow(platform.ServersTable, serversWait(r.settings.Bounds), serversGather, r.applyServers),
 		r.peers.Run, r.sweep, r.gossip.listen, r.gossip.tell,
 	}
 	for _, loop := range loops {
@@ -49,7 +71,7 @@
 
 // follow returns a loop that follows a table.
 func (r *Router) follow(name string, wait, gather time.Duration, apply func(follow.News)) func(context.Context) {
-	config := follow.Config{Feed: r.store, Table: name, Wait: wait, Gather: gather, Apply: apply, Failed: r.unread(name)}
+	config := follow.Config{Feed: r.store, Table: name, Wait: wait, Gather: gather, Apply: apply, Failed: r.unread(name), Regained: r.state.storeRegained}
 	return func(ctx context.Context) { follow.Run(ctx, config) }
 }
 
@@ -82,13 +104,7 @@
 
 // unread logs a failed call that follows a table.
 func (r *Router) unread(name string) func(error) {
-	return func(err error) {
-		if !errors.Is(err, table.ErrForgotten) {
-			// Entries lapse only while the store is away, not when it forgets its history.
-			r.servers.Disturbed()
-		}
-		r.journal.Log("feed_failed", "table", name, "config_age", r.configAge(), "err", err)
-	}
+	return func(err error) { r.journal.Log("feed_failed", "table", name, "config_age", r.configAge(), "err", err) }
 }
 
 // applyConfiguration takes over a version, and confirms the known one where nothing newer is there.
@@ -222,15 +238,12 @@
 }
 
 // observeStore counts a call and tells when the store is lost and regained.
-func (r *Router) observeStore(call string, err error) {
+func (r *Router) observeStore(call string, took time.Duration, err error) {
 	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrForgotten)
 	r.metrics.storeCall(call, err)
-	r.state.mu.Lock()
-	changed := r.state.lost == answered
-	r.state.lost = !answered
-	r.state.mu.Unlock()
+	r.servers.ObserveStore(took, answered)
 	switch {
-	case !changed:
+	case !r.state.storeAnswered(answered):
 	case answered:
 		r.journal.Log("store_regained", "call", call)
 	default:
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -94,6 +94,7 @@
 	r := &Router{
 		settings: settings, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
 		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
+		state: state{regained: make(chan struct{})},
 	}
 	r.promised.Store(&settings.Bounds)
 	r.metrics = newMetrics(r)
@@ -112,7 +113,9 @@
 	r.store = platform.NewStore(platform.StoreConfig{
 		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStore,
 	})
-	r.servers = servers.New(servers.Config{NewPool: r.newPool, ReturnTime: returnTime})
+	r.servers = servers.New(servers.Config{
+		NewPool: r.newPool, ReturnTime: returnTime, Contact: contactLeft(settings.Bounds), OutageTime: outageBeats * settings.Heartbeat,
+	})
 	address, err := netip.ParseAddr(settings.Address)
 	if err != nil {
 		return oops.Wrapf(err, "address of %s", settings.Process)
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"vanillapond/platform"
+)
 
 // Times and shares of a router; bounds that the operator has promised come from the settings.
 const (
@@ -9,14 +13,23 @@
 	// configShare is the part of the time in which a withdrawn key must stop working for which a question for a new
 	// configuration waits. Knowledge counts from when a question was sent, so that it grows as old as two questions take.
 	configShare = 0.25
-	// serversWait is how long a question for changed servers waits; changes come at once.
-	serversWait = 5 * time.Second
+	// maxServersWait and minServersWait bound how long a question for changed servers waits. Changes come at once; a longer
+	// wait saves calls, and finds a dead connection later.
+	maxServersWait = 5 * time.Second
+	minServersWait = 500 * time.Millisecond
+	// resumeTime is how long the next question for changed servers takes after one failed: a pause and an answer.
+	resumeTime = 500 * time.Millisecond
 	// serversGather is how long changes of servers are gathered: a fleet that starts enters itself one by one.
 	serversGather = 400 * time.Millisecond
 	// returnTime is how long servers have to enter themselves again after the store was away, with a little room.
 	returnTime = 2300 * time.Millisecond
+	// outageBeats is the least number of heartbeats without an answer of the store after which entries of living servers may
+	// have lapsed: the third silent heartbeat ends an entry, and the first may have been due as the outage began.
+	outageBeats = 2
 	// sweepInterval is the time between two looks for lapsed servers and idle connections.
-	sweepInterval = 500 * time.Millisecond
+	sweepInterval = 250 * time.Millisecond
+	// placeTime is room for what passes between the choice of a server and the sending of the request.
+	placeTime = 100 * time.Millisecond
 	// keyShare is the part of the time in which a withdrawn key must stop working during which old knowledge is trusted.
 	keyShare = 0.8
 	// repeatShare is the part of the budget of repeats that entries use, so that their counts need not agree exactly.
@@ -48,3 +61,21 @@
 
 // share returns a part of a time.
 func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
+
+// contactLeft returns for how long after the store's return servers whose entries are missing are used at most, so that none
+// is when the disturbance counts as over; 0 means that no such bound is known.
+func contactLeft(bounds platform.Bounds) time.Duration {
+	if bounds.Contact == 0 {
+		return 0
+	}
+	return max(bounds.Contact-sweepInterval-placeTime, sweepInterval)
+}
+
+// serversWait returns how long a question for changed servers waits, so that one whose answer was lost in a disturbance is
+// asked again before a server that leaves after the disturbance must get no new requests.
+func serversWait(bounds platform.Bounds) time.Duration {
+	if bounds.Contact == 0 || bounds.Drain == 0 {
+		return maxServersWait
+	}
+	return min(max(bounds.Contact+bounds.Drain-storeTimeout-resumeTime, minServersWait), maxServersWait)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,8 +34,11 @@
 var regressions = []uint64{
 	// The stand-in's answers lost a change that came as the question's wait ended, so that servers that had left and keys that
 	// had been withdrawn stayed in force until the next change (TestNoChangeIsLost).
-	6, 14, 16, 17, 21, 1003, 1017, 1021,
-	32, 35, 39, 41, 42, 43,
+	6, 21, 1021,
+	// The question for servers hung on a dead connection for longer than a server that leaves may get requests
+	// (TestWaitingEndsWithTheConnection, TestServersWait), or failed calls alone were taken for an outage in which entries lapse
+	// (TestEntriesMissingWithoutAnOutage, TestOutageFoundLate).
+	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
 }
 
 // TestSoak runs each seed.
