Show what a running router believes: state command, more counters, lines of failures with a bound of their own

Ruled out: a second listener (the metrics address serves /state too). Before and after: TestState, TestStandings, TestLookups (host and path), TestBoundPerKind and the cases of TestRun fail without it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 	Entry    entryCommand    `command:"entry"    description:"run an entry process"`
 	Sidecar  sidecarCommand  `command:"sidecar"  description:"run a sidecar process beside an endpoint"`
 	Router   routerCommand   `command:"router"   description:"run a router process straight before servers, on the users' platform"`
+	State    stateCommand    `command:"state"    description:"show what a running router believes"`
 	Stub     stubCommand     `command:"stub"     description:"run a stand-in of an outside system"`
 	Config   configCommand   `command:"config"   description:"read and change the configuration"`
 	Key      keyCommand      `command:"key"      description:"make keys and their digests"`
@@ -60,6 +61,7 @@
   vanillapond entry --settings entry.yaml --check
   vanillapond config patch --entry http://127.0.0.1:8444 --file change.yaml
   vanillapond key issue --entry http://127.0.0.1:8444 --customer school --class drafting --key-file school.key
+  vanillapond state --router http://10.1.0.19:9464
   vanillapond timeline --process http://127.0.0.1:9090 --request ID
 
 Exit status: 0 done, 1 failed, 2 wrong arguments or settings. --version prints the version.`
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -23,6 +23,9 @@
 		{"key digest --file /nowhere", command.ExitUsage, "", "no such file"},
 		{"entry --settings /nowhere", command.ExitUsage, "", "/nowhere"},
 		{"entry", command.ExitUsage, "", "--settings"},
+		{"router --check", command.ExitUsage, "", "--settings"},
+		{"state --router http://127.0.0.1:1", command.ExitFailed, "", "127.0.0.1:1"},
+		{"state", command.ExitUsage, "", "--router"},
 		{"fly", command.ExitUsage, "", "Unknown command"},
 		{"timeline --process http://127.0.0.1:1", command.ExitOK, "", "no events of http://127.0.0.1:1"},
 	}
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"syscall"
 
+	"github.com/samber/oops"
+
 	"vanillapond/internal/role/router"
 	"vanillapond/platform"
 )
@@ -22,6 +24,9 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
+	if path == "" {
+		return usageError(oops.Errorf("no settings: want --settings FILE or the file's name in %s", platform.SettingsVariable))
+	}
 	loaded, err := platform.LoadSettings(path)
 	if err != nil {
 		return usageError(err)
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -2,6 +2,8 @@
 package servers
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +75,16 @@
 	return known == server && known.State == platform.ServerReady
 }
 
+// Missing reports whether the server is used although its entry is not there.
+func (s *Server) Missing() bool { return s.missing }
+
+// All returns the servers with an entry, leaving ones too, in no order.
+func (r *Registry) All() []*Server {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.Collect(maps.Values(r.known))
+}
+
 // Listed reports whether the servers have been listed once.
 func (r *Registry) Listed() bool {
 	r.mu.RLock()
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -57,12 +57,16 @@
 	return j
 }
 
-// Log writes one line of key=value pairs; kind is the line's event.
-func (j *Journal) Log(kind string, pairs ...any) {
+// Log writes one line of key=value pairs.
+func (j *Journal) Log(event string, pairs ...any) { j.LogKind(event, event, pairs...) }
+
+// LogKind writes a line that is bounded by its kind instead of its event, so that rare lines are not dropped because of many
+// others of the same event.
+func (j *Journal) LogKind(kind, event string, pairs ...any) {
 	if !j.admit(kind) {
 		return
 	}
-	j.write(kind, pairs)
+	j.write(event, pairs)
 }
 
 func (j *Journal) admit(kind string) bool {
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -62,8 +62,10 @@
 		j.Log("often", "n", 1)
 	}
 	j.Log("seldom", "reason", "two words")
+	j.LogKind("often_failed", "often", "failed", true)
 	j.Close(time.Second)
-	often := strings.Count(out.String(), "event=often")
+	is.True(strings.Contains(out.String(), "event=often failed=true"))
+	often := strings.Count(out.String(), "event=often n=")
 	is.True(often >= 200 && often <= 400) // A second may begin between two lines.
 	is.True(strings.Contains(out.String(), `event=seldom reason="two words"`))
 }
--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -90,11 +91,16 @@
 	sent Window
 	// fence is of the term that sent belongs to.
 	fence ident.Fence
+	// open counts the windows that were due and not sent at the last look.
+	open atomic.Int64
 }
 
 // NewReporter returns a reporter.
 func NewReporter(config ReporterConfig) *Reporter { return &Reporter{config: config} }
 
+// Open returns how many windows are due and not reported, as far as this process is in charge of them; else 0.
+func (r *Reporter) Open() int { return int(r.open.Load()) }
+
 // Run reports windows until the context is done.
 func (r *Reporter) Run(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
@@ -113,6 +119,7 @@
 
 // Step reports the oldest window that is due, if the lease is held.
 func (r *Reporter) Step(ctx context.Context) error {
+	r.open.Store(0)
 	grant, err := r.config.Lease.Check(r.config.Lease.Now(), r.timeout())
 	if errors.Is(err, lease.ErrNotHeld) {
 		return nil
@@ -127,6 +134,7 @@
 		r.fence = grant.Fence
 		r.sent = due - Window(r.config.Late/r.config.Length) - 1
 	}
+	r.open.Store(int64(max(due-r.sent, 0)))
 	if r.sent >= due {
 		return nil
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -75,7 +75,10 @@
 
 // Record is what became of a request.
 type Record struct {
-	ID       string
+	ID string
+	// Host and Path are what the caller asked for, cut to a bounded length; the path has no query.
+	Host, Path string
+	// Route is empty where none was found.
 	Route    string
 	Service  ident.Pool
 	Customer ident.Customer
@@ -97,6 +100,9 @@
 	Pause, MaxPause time.Duration
 }
 
+// Unsent is the outcome of a choice after which the request was refused instead of sent.
+const Unsent = "unsent"
+
 // Sent is one send of a request to a server.
 type Sent struct {
 	Choice  placement.Choice
@@ -138,7 +144,9 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{forwarder: f, writer: w, request: r, arrived: time.Now(), record: Record{ID: r.Header.Get(platform.HeaderRequest)}}
+	c := &call{forwarder: f, writer: w, request: r, arrived: time.Now(), record: Record{
+		ID: r.Header.Get(platform.HeaderRequest), Host: shorten(r.Host), Path: shorten(r.URL.EscapedPath()),
+	}}
 	defer func() {
 		c.record.Took = time.Since(c.arrived)
 		f.config.Observe(c.record)
@@ -161,6 +169,11 @@
 	c.run()
 }
 
+// maxLogged bounds, in bytes, what a caller can put into a log line.
+const maxLogged = 120
+
+func shorten(text string) string { return text[:min(len(text), maxLogged)] }
+
 // admit reads the request and finds its route, customer and time.
 func (c *call) admit() *refusal {
 	known := c.forwarder.config.Current.Table()
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -149,7 +149,7 @@
 		return done
 	}
 	if refused := c.tooBusy(now, choice); refused != nil {
-		c.record.Sends = append(c.record.Sends, Sent{Choice: choice, Outcome: "unsent"})
+		c.record.Sends = append(c.record.Sends, Sent{Choice: choice, Outcome: Unsent})
 		c.refuse(refused)
 		return done
 	}
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -64,7 +64,7 @@
 		uncached := each.uncached(query, shared)
 		reading := float64(uncached) * perToken
 		ahead := float64(each.work.Prefill.upTo(query.Level)) * perToken
-		pending := float64(each.work.Prefill.all()) * perToken
+		pending := float64(each.work.Prefill.All()) * perToken
 		cost := waitingCost((base+ahead+reading)*perObjective) +
 			reread*float64(max(uncached-query.Prompt+shared, 0)) + activeCost*float64(each.work.Active)
 		if !each.Near {
--- a/internal/request/placement/health.go
+++ b/internal/request/placement/health.go
@@ -52,14 +52,16 @@
 
 // penalty returns what doubt about the server adds to its cost.
 func (s *server) penalty(now time.Time) float64 {
-	penalty := failureCost * max(s.health.failures-toleratedFailures, 0)
-	if len(s.tickets) == 0 {
-		return penalty
-	}
+	return failureCost*max(s.health.failures-toleratedFailures, 0) + overdueCost*float64(s.overdue(now))
+}
+
+// overdue counts the requests that got no first bytes long after they were expected.
+func (s *server) overdue(now time.Time) int {
+	count := 0
 	for ticket := range s.tickets {
 		if !ticket.started && now.Sub(ticket.sent) > max(overdueFactor*ticket.expected, overdueFloor) {
-			penalty += overdueCost
+			count++
 		}
 	}
-	return penalty
+	return count
 }
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -68,8 +68,8 @@
 	Work Work
 	// Uncached is how many tokens of the prompt the server has to read.
 	Uncached ident.Tokens
-	// Usable is how many servers were weighed.
-	Usable int
+	// Usable is how many servers were weighed, and Free how many of them have half of their slots free or more.
+	Usable, Free int
 	// Quiet says that the server is kept for streams with short pauses.
 	Quiet bool
 }
@@ -182,7 +182,7 @@
 		b.cache.mark(now, query.Parts)
 	}
 	chosen, cost := b.cheapest(now, query)
-	choice := Choice{Server: chosen.ID, Cost: cost, Work: chosen.work, Quiet: chosen.quiet, Usable: len(b.options)}
+	choice := Choice{Server: chosen.ID, Cost: cost, Work: chosen.work, Quiet: chosen.quiet, Usable: len(b.options), Free: b.free()}
 	if query.Engine {
 		choice.Uncached = chosen.uncached(query, sharedTokens(query.Parts))
 		choice.Ahead = b.speed.reading(chosen.work.Prefill.upTo(query.Level))
@@ -213,6 +213,17 @@
 	return best, least
 }
 
+// free counts the options that have half of their slots free or more.
+func (b *Board) free() int {
+	count := 0
+	for _, each := range b.options {
+		if 2*each.work.Active <= each.Slots {
+			count++
+		}
+	}
+	return count
+}
+
 // gather sets options to the members that are neither avoided nor out; where all are out, to those that are not avoided.
 func (b *Board) gather(now time.Time, query Query) {
 	b.options = b.options[:0]
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -44,7 +44,7 @@
 	for _, each := range options {
 		paced += each.work.Paced
 		slots += each.Slots
-		busy += min(float64(each.work.Prefill.all())/full, 1)
+		busy += min(float64(each.work.Prefill.All())/full, 1)
 	}
 	q.busy = busy / float64(len(options))
 	if paced == 0 && q.engines == 0 {
--- /dev/null
+++ b/internal/request/placement/standing_test.go
@@ -0,0 +1,46 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/request/placement"
+)
+
+// TestStandings holds that what is shown of a server is what the choice goes by.
+func TestStandings(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	list := engines(2)
+	list[0].Slots, list[1].Slots = 4, 4
+	board := among(placement.New(1), list)
+	of := func(server string, now time.Time) placement.Standing {
+		for _, standing := range board.Standings(now) {
+			if string(standing.Server) == server {
+				return standing
+			}
+		}
+		t.Fatalf("no standing of %s", server)
+		return placement.Standing{}
+	}
+	first, ticket := place(t, board, start, long)
+	is.Equal(first.Free, 2)
+	name := string(first.Server)
+	standing := of(name, start)
+	is.Equal(standing.Own.Active, 1)
+	is.Equal(standing.All.Active, 1)
+	is.Equal(standing.Overdue, 0)
+	is.Equal(of(name, start.Add(time.Minute)).Overdue, 1)
+	ticket.End(start, placement.Unreachable)
+	standing = of(name, start)
+	is.True(standing.Out > 0)
+	is.True(standing.Failures > 0)
+	is.Equal(standing.Own.Active, 0)
+	for range 3 {
+		place(t, board, start, long)
+	}
+	next, _ := place(t, board, start, long)
+	is.Equal(next.Free, 0) // One is out, and the other has more than half of its slots taken.
+}
--- a/internal/request/placement/ticket.go
+++ b/internal/request/placement/ticket.go
@@ -30,7 +30,7 @@
 	server := b.server(choice.Server)
 	ticket := &Ticket{
 		board: b, server: server, sent: now, expected: choice.Wait, work: Work{Active: 1},
-		alone: choice.Work.Prefill.all() == 0, unshared: query.Prompt - sharedTokens(query.Parts),
+		alone: choice.Work.Prefill.All() == 0, unshared: query.Prompt - sharedTokens(query.Parts),
 	}
 	if query.Engine {
 		ticket.level = query.Level
--- a/internal/request/placement/work.go
+++ b/internal/request/placement/work.go
@@ -24,8 +24,8 @@
 	return sum
 }
 
-// all returns what is to be read at all levels.
-func (r *Reading) all() ident.Tokens { return r.upTo(Levels - 1) }
+// All returns what is to be read at all levels.
+func (r *Reading) All() ident.Tokens { return r.upTo(Levels - 1) }
 
 // drain takes off tokens that have been read meanwhile, the most urgent first.
 func (r *Reading) drain(tokens ident.Tokens) {
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -34,6 +34,12 @@
 
 func (s *state) leave() { s.leaving.Store(true) }
 
+func (s *state) storeLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // storeRegained returns a channel that is closed when the store answers again.
 func (s *state) storeRegained() <-chan struct{} {
 	s.mu.Lock()
@@ -75,17 +81,25 @@
 	return func(ctx context.Context) { follow.Run(ctx, config) }
 }
 
+// newReporter returns the reporter of usage, whose events are counted too.
+func (r *Router) newReporter() *usage.Reporter {
+	return usage.NewReporter(usage.ReporterConfig{
+		Table: r.store, Lease: r.lease, Gather: r.gatherUsage, Beat: r.peers.Beat, Length: r.settings.Bounds.UsageWindow,
+		Late: r.settings.Bounds.UsageLate, Now: r.peers.TrueTime,
+		Log: func(event string, pairs ...any) {
+			r.metrics.usageEvent(event)
+			r.journal.Log(event, pairs...)
+		},
+		Reports: reports{duties: platform.NewDuties(platform.DutiesConfig{Address: r.settings.Duties.Address, Process: r.settings.Process})},
+	})
+}
+
 // runDuties starts the loops that end first when the process stops.
 func (r *Router) runDuties(ctx context.Context) {
 	duties, cancel := context.WithCancel(ctx)
 	r.cancelDuties = cancel
-	reporter := usage.NewReporter(usage.ReporterConfig{
-		Table: r.store, Lease: r.lease, Gather: r.gatherUsage, Beat: r.peers.Beat, Length: r.settings.Bounds.UsageWindow,
-		Late: r.settings.Bounds.UsageLate, Now: r.peers.TrueTime, Log: r.journal.Log,
-		Reports: reports{duties: platform.NewDuties(platform.DutiesConfig{Address: r.settings.Duties.Address, Process: r.settings.Process})},
-	})
 	r.duties.Go(func() { r.lease.Run(duties) })
-	r.duties.Go(func() { reporter.Run(duties) })
+	r.duties.Go(func() { r.reporter.Run(duties) })
 	r.duties.Go(func() { r.watchLease(duties) })
 }
 
@@ -143,6 +157,7 @@
 
 // applyServers takes over the last word on each server's entry; one that cannot be read names no server to use.
 func (r *Router) applyServers(news follow.News) {
+	r.serversRead.Store(int64(news.Since))
 	present := make(map[ident.Endpoint]platform.Server)
 	removed := make(map[ident.Endpoint]bool)
 	for _, change := range news.Changes {
@@ -211,19 +226,25 @@
 	return s.duties.ReportUsage(ctx, fence, platform.UsageReport{Window: int64(window), Started: counts}, timeout)
 }
 
-// answerReady tells the balancer whether the process wants new connections.
-func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
-	reason := ""
-	switch age := r.configAge(); {
+// unready returns why the process wants no new connections, or nothing if it does.
+func (r *Router) unready() string {
+	switch {
 	case r.state.leaving.Load():
-		reason = "leaving"
+		return "leaving"
 	case r.current.Table() == nil:
-		reason = "no configuration yet"
+		return "no configuration yet"
 	case !r.servers.Listed():
-		reason = "no list of servers yet"
-	case age > share(unreadyShare, r.bounds().Revoke):
-		reason = "configuration is old"
+		return "no list of servers yet"
+	case r.configAge() > share(unreadyShare, r.bounds().Revoke):
+		return "configuration is old"
+	default:
+		return ""
 	}
+}
+
+// answerReady tells the balancer whether the process wants new connections.
+func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
+	reason := r.unready()
 	r.state.mu.Lock()
 	if ready := reason == ""; ready != r.state.ready {
 		r.state.ready = ready
@@ -240,7 +261,7 @@
 // observeStore counts a call and tells when the store is lost and regained.
 func (r *Router) observeStore(call string, took time.Duration, err error) {
 	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrForgotten)
-	r.metrics.storeCall(call, err)
+	r.metrics.storeCall(call, took, err)
 	r.servers.ObserveStore(took, answered)
 	switch {
 	case !r.state.storeAnswered(answered):
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -19,11 +20,16 @@
 	first    *prometheus.HistogramVec
 	took     *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	free     *prometheus.CounterVec
+	usage    *prometheus.CounterVec
 	store    *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
 	dials    prometheus.Counter
 	drops    *prometheus.CounterVec
 }
 
+var repeatsLeft = prometheus.NewDesc("vanillapond_router_repeats_left", "Repeats that the entry may make now, by service.", []string{"service"}, nil)
+
 func newMetrics(r *Router) *metrics {
 	buckets := prometheus.ExponentialBucketsRange(0.005, 30, 16)
 	m := &metrics{
@@ -43,6 +49,15 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_sends_total", Help: "Sends to servers by service and outcome.",
 		}, []string{"service", "outcome"}),
+		free: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_refused_beside_free_total", Help: "Refusals while a server had half of its slots free, by service.",
+		}, []string{"service"}),
+		usage: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_usage_events_total", Help: "What became of usage windows, by event of the log.",
+		}, []string{"event"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "vanillapond_router_store_call_seconds", Help: "Time of calls to the platform's store, with the wait for changes.", Buckets: buckets,
+		}, []string{"call"}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_store_calls_total", Help: "Calls to the platform's store by call and outcome.",
 		}, []string{"call", "outcome"}),
@@ -53,7 +68,8 @@
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.first, m.took, m.sends, m.store, m.dials, m.drops)
+	m.registry.MustRegister(m.requests, m.refusals, m.first, m.took, m.sends, m.free, m.usage, m.store, m.latency, m.dials, m.drops)
+	m.registry.MustRegister(budgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -65,7 +81,15 @@
 	return map[string]func() float64{
 		"config_version":     func() float64 { return float64(r.current.Version()) },
 		"config_age_seconds": func() float64 { return r.configAge().Seconds() },
-		"entries":            func() float64 { return float64(r.peers.Fleet()) },
+		"store_lost": func() float64 {
+			if r.state.storeLost() {
+				return 1
+			}
+			return 0
+		},
+		"servers_age_seconds": func() float64 { return r.serversAge().Seconds() },
+		"usage_windows_open":  func() float64 { return float64(r.reporter.Open()) },
+		"entries":             func() float64 { return float64(r.peers.Fleet()) },
 		"servers_ready": func() float64 {
 			_, ready := r.servers.Counts()
 			return float64(ready)
@@ -80,15 +104,35 @@
 	}
 }
 
-func (m *metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+// handler serves the counters, and what the router believes.
+func (r *Router) exposedHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+PathState, r.answerState)
+	return mux
+}
+
+func (m *metrics) usageEvent(event string) { m.usage.WithLabelValues(event).Inc() }
+
+// budgetCollector tells what is left of each service's budget of repeats.
+type budgetCollector struct{ router *Router }
+
+// Collect implements prometheus.Collector.
+func (c budgetCollector) Collect(values chan<- prometheus.Metric) {
+	for service, left := range c.router.budgetsLeft(time.Now()) {
+		values <- prometheus.MustNewConstMetric(repeatsLeft, prometheus.GaugeValue, left, string(service))
+	}
 }
 
+// Describe implements prometheus.Collector.
+func (budgetCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- repeatsLeft }
+
 func (m *metrics) dialed() { m.dials.Inc() }
 
 func (m *metrics) dropped(kind string) { m.drops.WithLabelValues(kind).Inc() }
 
-func (m *metrics) storeCall(call string, err error) {
+func (m *metrics) storeCall(call string, took time.Duration, err error) {
+	m.latency.WithLabelValues(call).Observe(took.Seconds())
 	outcome := "ok"
 	switch {
 	case err == nil:
@@ -118,6 +162,9 @@
 	for _, send := range record.Sends {
 		m.sends.WithLabelValues(string(record.Service), send.Outcome).Inc()
 	}
+	if last := len(record.Sends) - 1; last >= 0 && record.Sends[last].Outcome == forward.Unsent && record.Sends[last].Choice.Free > 0 {
+		m.free.WithLabelValues(string(record.Service)).Inc()
+	}
 	r.logRequest(record)
 }
 
@@ -134,5 +181,8 @@
 			"expected_ms", send.Choice.Wait.Milliseconds(), "active", send.Choice.Work.Active, "ahead_ms", send.Choice.Ahead.Milliseconds(), "quiet", send.Choice.Quiet,
 			"paced", send.Choice.Work.Paced, "uncached", int64(send.Choice.Uncached))
 	}
-	r.journal.Log("request", pairs...)
+	if record.Route == "" {
+		pairs = append(pairs, "host", record.Host, "path", record.Path)
+	}
+	r.journal.LogKind("request_"+record.Outcome, "request", pairs...)
 }
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -5,9 +5,11 @@
 	"context"
 	"crypto/rand"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +47,7 @@
 // Router is a running process.
 type Router struct {
 	settings    platform.Settings
+	build       string
 	incarnation ident.Incarnation
 	journal     *journal.Journal
 	metrics     *metrics
@@ -60,6 +63,9 @@
 	exposed     *listener.Listener
 	gossip      *gossip
 	told        told
+	reporter    *usage.Reporter
+	// serversRead is when the newest answer to the question for servers was asked for, a clock.Reading.
+	serversRead atomic.Int64
 	state       state
 	// promised are the bounds of the newest settings; those that a part was built with stay as they are.
 	promised atomic.Pointer[platform.Bounds]
@@ -92,7 +98,7 @@
 		return nil, err
 	}
 	r := &Router{
-		settings: settings, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
+		settings: settings, build: config.Build, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
 		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
 		state: state{regained: make(chan struct{})},
 	}
@@ -129,6 +135,7 @@
 	r.lease = lease.New(lease.Config{
 		Table: r.store, Name: dutyLease, Process: settings.Process, Incarnation: r.incarnation, Term: settings.Bounds.LeaseTerm, Place: r.place,
 	})
+	r.reporter = r.newReporter()
 	if r.gossip, err = newGossip(ctx, r); err != nil {
 		return err
 	}
@@ -144,7 +151,7 @@
 	var err error
 	if config.MetricsPort != 0 {
 		address := r.settings.Address + ":" + strconv.Itoa(config.MetricsPort)
-		if r.exposed, err = listener.Start(ctx, listener.Config{Address: address, Handler: r.metrics.handler(), OnPanic: panicked}); err != nil {
+		if r.exposed, err = listener.Start(ctx, listener.Config{Address: address, Handler: r.exposedHandler(), OnPanic: panicked}); err != nil {
 			r.journal.Log("metrics_unavailable", "address", address, "err", err)
 		}
 	}
@@ -196,6 +203,32 @@
 	return budget
 }
 
+func (r *Router) allBoards() []*placement.Board {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.boards))
+}
+
+// budgetsLeft returns how many repeats may be made now, by service.
+func (r *Router) budgetsLeft(now time.Time) map[ident.Pool]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := make(map[ident.Pool]float64, len(r.budgets))
+	for service, budget := range r.budgets {
+		left[service] = budget.Left(now)
+	}
+	return left
+}
+
+// serversAge returns how old the knowledge of the servers is; 0 before the first.
+func (r *Router) serversAge() time.Duration {
+	read := clock.Reading(r.serversRead.Load())
+	if read == 0 {
+		return 0
+	}
+	return clock.Boot().Sub(read)
+}
+
 // place ranks the entry among those that may hold the duty.
 func (r *Router) place() lease.Place {
 	members := []ident.Process{r.settings.Process}
