--- a/internal/role/router/state_test.go
+++ b/internal/role/router/state_test.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
 
 	"vanillapond/internal/role/router"
 	"vanillapond/pkg/ident"
@@ -70,3 +73,31 @@
 	}
 	r.stop()
 }
+
+// TestAlertRules holds that the example rules name only counters that a router has.
+func TestAlertRules(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	rules, err := os.ReadFile("../../../docs/alerts.yaml")
+	is.NoErr(err)
+	var parsed struct {
+		Groups []struct {
+			Rules []struct{ Alert, Expr string }
+		}
+	}
+	is.NoErr(yaml.Unmarshal(rules, &parsed))
+	source, err := os.ReadFile("metrics.go")
+	is.NoErr(err)
+	named := 0
+	for _, group := range parsed.Groups {
+		for _, rule := range group.Rules {
+			for _, name := range regexp.MustCompile(`vanillapond_router_\w+`).FindAllString(rule.Expr, -1) {
+				named++
+				if !strings.Contains(string(source), `"`+name+`"`) && !strings.Contains(string(source), `"`+strings.TrimPrefix(name, "vanillapond_router_")+`"`) {
+					t.Errorf("%s: no counter %s", rule.Alert, name)
+				}
+			}
+		}
+	}
+	is.True(named > 10)
+}
