Count the store's answers from when they were given, and ask for the configuration half as often

Cause: knowledge of the configuration counted from when the question was sent, so that it grew as old as two questions take; to stay young enough, every router asked every 1.25 s, the largest part of the calls to the store. Ruled out: a longer wait alone (readiness would come and go); trust in the time of the answer's arrival (the model finds a withdrawn key in use: TestModelWithdrawalOff).

--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -22,7 +22,8 @@
 	table.Batch
 	// Whole says that Changes are all present rows, so that a row that is missing was deleted.
 	Whole bool
-	// Since is when the call was sent: what it brought is at least as new as that.
+	// Since is when the call was sent, or a later time at which the state surely was as told: what it brought is at least as
+	// new as that.
 	Since clock.Reading
 }
 
@@ -102,6 +103,7 @@
 		return false, err
 	}
 	f.revision, f.listed = news.Revision, true
+	news.Since = max(news.Since, news.AsOf)
 	f.config.Apply(news)
 	return len(news.Changes) > 0, nil
 }
--- a/internal/process/table/feed.go
+++ b/internal/process/table/feed.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"vanillapond/internal/process/clock"
 )
 
 // ErrForgotten says that the history from the asked revision on is gone; the table is to be listed again.
@@ -23,6 +25,9 @@
 	Revision Revision
 	// ServiceTime is the service's steady clock as it answered; its zero is the service's own affair.
 	ServiceTime time.Duration
+	// AsOf is the latest time by the own clock at which the service's state surely was as told; 0 where only the time of the
+	// question is known.
+	AsOf clock.Reading
 }
 
 // Feed tells what changes under the first part of a key.
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -11,8 +11,9 @@
 	// storeTimeout bounds a call to the store: some hundred times its usual answer, so that a slow one still comes.
 	storeTimeout = 1200 * time.Millisecond
 	// configShare is the part of the time in which a withdrawn key must stop working for which a question for a new
-	// configuration waits. Knowledge counts from when a question was sent, so that it grows as old as two questions take.
-	configShare = 0.25
+	// configuration waits. Knowledge counts from when the store gave its last answer, so that it grows as old as one question
+	// takes; the rest up to unreadyShare is for a slow answer.
+	configShare = 0.45
 	// maxServersWait and minServersWait bound how long a question for changed servers waits. Changes come at once; a longer
 	// wait saves calls, and finds a dead connection later.
 	maxServersWait = 5 * time.Second
--- a/internal/version/routes/model_test.go
+++ b/internal/version/routes/model_test.go
@@ -21,7 +21,7 @@
 	modelRevoke = 3
 	// modelTrust is the age up to which knowledge is trusted; the router's is less, for clocks and requests on their way.
 	modelTrust = modelRevoke
-	modelEnd   = 7
+	modelEnd   = 6
 	// modelQuestions is how many questions are on their way at most: one that waits and one sent after it was given up.
 	modelQuestions = 2
 )
@@ -29,8 +29,9 @@
 // question is one on its way to the store.
 type question struct {
 	sent clock.Reading
-	// read says that the store has answered, with the version and revision that it had then.
+	// read says that the store has answered, with the version and revision that it had at that time.
 	read     bool
+	readAt   clock.Reading
 	version  int
 	revision table.Revision
 }
@@ -44,7 +45,7 @@
 	revision  table.Revision
 	withdrawn clock.Reading
 	questions []question
-	// fromAnswer counts knowledge from when the answer came, which is wrong.
+	// fromAnswer counts knowledge from when the answer came instead of when it was given, which is wrong.
 	fromAnswer bool
 }
 
@@ -64,7 +65,7 @@
 		all = append(all, func() { m.drop(index) }) // The question or its answer is lost.
 		if !asked.read {
 			all = append(all, func() {
-				m.questions[index] = question{sent: asked.sent, read: true, version: m.version, revision: m.revision}
+				m.questions[index] = question{sent: asked.sent, read: true, readAt: m.now, version: m.version, revision: m.revision}
 			})
 			continue
 		}
@@ -85,7 +86,7 @@
 	if !m.current.Advance(configuration) && configuration.Version < m.current.Version() {
 		return
 	}
-	since := answer.sent
+	since := answer.readAt
 	if m.fromAnswer {
 		since = m.now
 	}
@@ -144,7 +145,7 @@
 	is.New(t).NoErr(exploreWithdrawal(t, false))
 }
 
-// TestModelWithdrawalOff holds that the model sees what goes wrong where knowledge counts from its answer.
+// TestModelWithdrawalOff holds that the model sees what goes wrong where knowledge counts from when its answer came.
 func TestModelWithdrawalOff(t *testing.T) {
 	t.Parallel()
 	err := exploreWithdrawal(t, true)
