Add an engine model and `vanillapond experiment`, which plays loads over policies in virtual time

Change: internal/experiment: engines with chunked reading, a cache of shared parts, urgency and preemption by memory; entries that decide with the router's own code and tell each other as it does; generated or recorded loads; baselines least outstanding, strict priority, FIFO round robin, and the router without admission; text, JSON and SVG; spans over seeds. One writer that keeps its first error (internal/sticky) instead of two. The model is too kind at the tail.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,19 +38,20 @@
 
 // options are all commands.
 type options struct {
-	Version  versionCommand  `command:"version"  description:"print the version"`
-	Entry    entryCommand    `command:"entry"    description:"run an entry process"`
-	Sidecar  sidecarCommand  `command:"sidecar"  description:"run a sidecar process beside an endpoint"`
-	Router   routerCommand   `command:"router"   description:"run a router process straight before servers, on the users' platform"`
-	State    stateCommand    `command:"state"    description:"show what a running router believes"`
-	Stub     stubCommand     `command:"stub"     description:"run a stand-in of an outside system"`
-	Config   configCommand   `command:"config"   description:"read and change the configuration"`
-	Key      keyCommand      `command:"key"      description:"make keys and their digests"`
-	Usage    usageCommand    `command:"usage"    description:"list a customer's billing windows"`
-	Account  accountCommand  `command:"account"  description:"make a partner's final statement"`
-	Timeline timelineCommand `command:"timeline" description:"merge the events of all processes"`
-	Load     loadCommand     `command:"load"     description:"send open-loop load and report what was served"`
-	Demo     demoCommand     `command:"demo"     description:"run the whole path in one process on loopback"`
+	Version    versionCommand    `command:"version"  description:"print the version"`
+	Entry      entryCommand      `command:"entry"    description:"run an entry process"`
+	Sidecar    sidecarCommand    `command:"sidecar"  description:"run a sidecar process beside an endpoint"`
+	Router     routerCommand     `command:"router"   description:"run a router process straight before servers, on the users' platform"`
+	State      stateCommand      `command:"state"    description:"show what a running router believes"`
+	Stub       stubCommand       `command:"stub"     description:"run a stand-in of an outside system"`
+	Config     configCommand     `command:"config"   description:"read and change the configuration"`
+	Key        keyCommand        `command:"key"      description:"make keys and their digests"`
+	Usage      usageCommand      `command:"usage"    description:"list a customer's billing windows"`
+	Account    accountCommand    `command:"account"  description:"make a partner's final statement"`
+	Timeline   timelineCommand   `command:"timeline" description:"merge the events of all processes"`
+	Load       loadCommand       `command:"load"     description:"send open-loop load and report what was served"`
+	Experiment experimentCommand `command:"experiment" description:"play loads over policies and models of engines in virtual time"`
+	Demo       demoCommand       `command:"demo"     description:"run the whole path in one process on loopback"`
 }
 
 // examples stands in the help.
@@ -61,6 +62,7 @@
   vanillapond entry --settings entry.yaml --check
   vanillapond config patch --entry http://127.0.0.1:8444 --file change.yaml
   vanillapond key issue --entry http://127.0.0.1:8444 --customer school --class drafting --key-file school.key
+  vanillapond experiment --plan examples/experiment/burst.yaml --seeds 5
   vanillapond state --router http://10.1.0.19:9464
   vanillapond timeline --process http://127.0.0.1:9090 --request ID
 
--- /dev/null
+++ b/internal/command/experiment.go
@@ -0,0 +1,102 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/samber/oops"
+
+	"vanillapond/internal/experiment"
+	"vanillapond/internal/process/settings"
+)
+
+type experimentCommand struct {
+	command
+	Plan     string   `long:"plan" required:"true" value-name:"FILE" description:"YAML plan of engines, entries and load"`
+	Policies []string `long:"policy" value-name:"NAME" description:"policy to be played, may repeat (default: all)"`
+	First    uint64   `long:"first" default:"1" description:"the first seed"`
+	Seeds    uint64   `long:"seeds" default:"5" description:"how many seeds are played"`
+	Format   string   `long:"format" default:"text" choice:"text" choice:"json" choice:"svg" description:"form of the output"`
+	Record   string   `long:"record" value-name:"FILE" description:"write the first seed's arrivals to a file and end"`
+}
+
+func (c *experimentCommand) run(shell *shell) error {
+	plan, err := settings.Load[experiment.Plan](c.Plan)
+	if err != nil {
+		return usageError(err)
+	}
+	if c.Seeds == 0 {
+		return usageError(oops.Errorf("--seeds: found 0, want 1 or more"))
+	}
+	recorded, err := readRecording(plan.Recording)
+	if err != nil {
+		return usageError(err)
+	}
+	if c.Record != "" {
+		return c.record(plan)
+	}
+	if len(c.Policies) == 0 {
+		c.Policies = experiment.Policies
+	}
+	reports, err := c.play(shell, plan, recorded)
+	if err != nil {
+		return err
+	}
+	switch c.Format {
+	case "json":
+		return printJSON(shell, reports)
+	case "svg":
+		return experiment.Plot(shell.out, reports)
+	default:
+		return experiment.WriteText(shell.out, plan, reports)
+	}
+}
+
+// play plays all policies over all seeds, with a line of progress for each.
+func (c *experimentCommand) play(shell *shell, plan experiment.Plan, recorded []experiment.Arrival) ([]experiment.Report, error) {
+	var reports []experiment.Report
+	for seed := c.First; seed < c.First+c.Seeds; seed++ {
+		arrivals := recorded
+		if arrivals == nil {
+			arrivals = experiment.Generate(plan, seed)
+		}
+		for _, policy := range c.Policies {
+			report, err := experiment.Run(shell.ctx, experiment.Config{Plan: plan, Policy: policy, Seed: seed, Arrivals: arrivals})
+			if err != nil {
+				return nil, err
+			}
+			_, _ = fmt.Fprintf(shell.err, "seed %d, %s: %d requests, worth %.3f\n", seed, policy, report.All.Asked, report.All.Worth)
+			reports = append(reports, report)
+		}
+	}
+	return reports, nil
+}
+
+func (c *experimentCommand) record(plan experiment.Plan) error {
+	file, err := os.Create(c.Record)
+	if err != nil {
+		return oops.Wrapf(err, "--record")
+	}
+	if err := experiment.Record(file, experiment.Generate(plan, c.First)); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+// readRecording returns the arrivals of a file, or nothing where none is named.
+func readRecording(path string) ([]experiment.Arrival, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Open(path) //nolint:gosec // The plan names the file.
+	if err != nil {
+		return nil, oops.Wrapf(err, "recording")
+	}
+	defer func() { _ = file.Close() }()
+	arrivals, err := experiment.Read(file)
+	if err != nil {
+		return nil, oops.Wrapf(err, "%s", path)
+	}
+	return arrivals, nil
+}
--- a/internal/timeline/lanes.go
+++ b/internal/timeline/lanes.go
@@ -7,6 +7,7 @@
 	svg "github.com/ajstarks/svgo"
 
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/sticky"
 	"vanillapond/pkg/ident"
 )
 
@@ -29,8 +30,8 @@
 			order = append(order, e.Process)
 		}
 	}
-	failing := &failingWriter{writer: w}
-	canvas := svg.New(failing)
+	sink := &sticky.Writer{To: w}
+	canvas := svg.New(sink)
 	height := headHeight + rowHeight*(len(events)+1)
 	canvas.Start(timeWidth+laneWidth*max(len(order), 1), height)
 	for index, process := range order {
@@ -42,7 +43,7 @@
 		drawEvent(canvas, e, headHeight+rowHeight*row, timeWidth+laneWidth*lanes[e.Process])
 	}
 	canvas.End()
-	return failing.err
+	return sink.Err
 }
 
 func drawEvent(canvas *svg.SVG, e event.Event, y, x int) {
@@ -51,19 +52,3 @@
 	canvas.Circle(x, y-dotRadius, dotRadius, "fill:#369")
 	canvas.Text(x+2*dotRadius, y, string(e.Name)+" "+string(e.Endpoint)+" "+e.Detail, "font:11px sans-serif")
 }
-
-// failingWriter keeps the first error of a writer whose callers ignore it.
-type failingWriter struct {
-	writer io.Writer
-	err    error
-}
-
-// Write implements io.Writer.
-func (f *failingWriter) Write(part []byte) (int, error) {
-	if f.err != nil {
-		return 0, f.err
-	}
-	var count int
-	count, f.err = f.writer.Write(part)
-	return count, f.err
-}
