--- /dev/null
+++ b/internal/request/forward/stream_test.go
@@ -0,0 +1,175 @@
+package forward_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/platform"
+)
+
+// events answers with events from..to, then breaks off or ends.
+func events(from, to int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		seal(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for id := from; id <= to; id++ {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(id)+"\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(to+1)+"\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func ids(body string) string {
+	var found []string
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			found = append(found, strings.TrimSpace(id))
+		}
+	}
+	return strings.Join(found, " ")
+}
+
+// TestStreams holds that a broken stream goes on elsewhere where the route allows it, and never looks whole elsewhere.
+func TestStreams(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		path  string
+		whole bool
+		ids   string
+		cut   bool
+	}{
+		{path: "/stream/", whole: true, ids: "1 2 3"},
+		{path: "/stream/", ids: "1 2 3", cut: true},
+		{path: "/resume/", ids: "1 2 3 4 5"},
+	} {
+		t.Run(c.path+strconv.FormatBool(c.whole), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if after := r.Header.Get(platform.HeaderResume); after != "" {
+					is.Equal(after, "3")
+					events(4, 5, true)(w, r)
+					return
+				}
+				events(1, 3, c.whole)(w, r)
+			}
+			rig := start(t, 10, handler, handler)
+			response, body, err := rig.ask(t, c.path, nil)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(ids(body), c.ids)
+			is.Equal(err != nil, c.cut)
+			is.Equal(rig.counted("school"), 1)
+		})
+	}
+}
+
+// TestEventsComeAtOnce holds that an event reaches the caller while the server still makes the next.
+func TestEventsComeAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	goOn := make(chan struct{})
+	rig := start(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		seal(w, r)
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-goOn
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(rig.url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /stream/ HTTP/1.1\r\nHost: "+host+"\r\nAuthorization: "+platform.KeyScheme+"right\r\n"+platform.HeaderRequest+": 1\r\n\r\n")
+	is.NoErr(err)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := reader.ReadString('\n')
+		is.NoErr(err)
+		if strings.HasPrefix(line, "data: x") {
+			break
+		}
+	}
+	close(goOn)
+}
+
+// TestCallerLeaves holds that a server's work ends soon after the caller has left.
+func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ended := make(chan struct{})
+	begun := make(chan struct{})
+	rig := start(t, 0, func(_ http.ResponseWriter, r *http.Request) {
+		// The connection is watched once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(rig.url, "http://"))
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "GET /once/ HTTP/1.1\r\nHost: "+host+"\r\nAuthorization: "+platform.KeyScheme+"right\r\n"+platform.HeaderRequest+": 1\r\n\r\n")
+	is.NoErr(err)
+	<-begun
+	is.NoErr(conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("server still works half a second after the caller has left")
+	}
+}
+
+// TestSmuggledRequest sends two lengths for one body: what follows the shorter one is nobody's request.
+func TestSmuggledRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var mu sync.Mutex
+	var paths []string
+	rig := start(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		paths = append(paths, r.URL.Path)
+		mu.Unlock()
+		good("ok")(w, r)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(rig.url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	inner := "GET /get/smuggled HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: " + platform.KeyScheme + "right\r\n" + platform.HeaderRequest + ": 2\r\n\r\n"
+	_, err = io.WriteString(conn, "POST /get/outer HTTP/1.1\r\nHost: "+host+"\r\nAuthorization: "+platform.KeyScheme+"right\r\n"+platform.HeaderRequest+": 1\r\n"+
+		"Content-Length: "+strconv.Itoa(len(inner)+5)+"\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+inner)
+	is.NoErr(err)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, _ = io.ReadAll(conn)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, path := range paths {
+		is.True(path != "/get/smuggled")
+	}
+}
+
+// TestTimeout holds that a request has its final answer when its route's time is up, and that it is not called not run.
+func TestTimeout(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	rig := start(t, 0, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	begun := time.Now()
+	response, _, err := rig.ask(t, "/once/", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.True(time.Since(begun) < 1500*time.Millisecond)
+}
