Keep at most a quarter of the engines for live streams, instead of half

Cause: at the worst load the engines kept for streams with short pauses stand half idle, while long prompts are refused or run until their deadline on the others. Change: maxQuietShare 0.5 to 0.25.

--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -47,6 +47,8 @@
 
 // TestBurstOfLongPrompts replays a burst of long prompts beside live streams: the decisions in force serve more than plain
 // ones at every seed, starve no class, and what they refuse is not run.
+//
+// With half of the engines kept for live streams, as once, the worth of all was 0.58 to 0.62 of what could be earned.
 func TestBurstOfLongPrompts(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -56,6 +58,7 @@
 		for _, plain := range experiment.Policies[1:] {
 			is.True(now.All.Worth > play(t, plan, plain, seed).All.Worth)
 		}
+		is.True(now.All.Worth > 0.64)
 		is.True(now.Classes["live"].Worth > 0.9)
 		is.True(now.Classes["draft"].Worth > 0.9)
 		is.True(now.All.Failed*20 < now.All.Asked) // What is admitted ends in time to be of use.
--- a/internal/request/placement/quiet.go
+++ b/internal/request/placement/quiet.go
@@ -14,7 +14,7 @@
 	// minQuiet engines are kept so that the loss of one leaves another.
 	minQuiet = 2
 	// maxQuietShare is the part of all engines that may be kept.
-	maxQuietShare = 0.5
+	maxQuietShare = 0.25
 	// shrinkAfter is how long fewer engines must be enough before one is given back: hysteresis, because streams that
 	// already run stay where they are.
 	shrinkAfter = 4 * time.Second
