Let the next in line watch the duty as soon as those before it have gone

The duty stayed without a holder for 5 and 7 s, and two usage windows came too late. Ruled out: the release at a stop (seen at once by those that watch); the wait of a taker (term and drift). Change: long waits end when the place becomes a candidate's, without a call to the store; each process counts once; up to six all watch. Tests that failed before: TestNextInLineWatches (both cases; by its random waits not in each run), TestRankCountsProcessesOnce.

--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -67,6 +67,8 @@
 	second bool
 	// spread says that the slow looks have their random offset; used by Run alone.
 	spread bool
+	// slow says that the last look was of a process that is no candidate; used by Run alone.
+	slow bool
 }
 
 // New returns a lease that is not held.
@@ -135,15 +137,20 @@
 
 // Run takes the lease where it is vacant and renews it, until the context is done; it does not release it.
 func (l *Lease) Run(ctx context.Context) {
-	timer := time.NewTimer(jitter(l.config.Term / retryShare))
-	defer timer.Stop()
+	wait := jitter(l.config.Term / retryShare)
 	for {
+		// A process that becomes a candidate meanwhile looks at once instead of at the end of a long wait.
+		slice := min(wait, l.config.Term)
+		timer := time.NewTimer(slice)
 		select {
 		case <-timer.C:
-			timer.Reset(l.Step(ctx))
 		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
+		if wait -= slice; wait <= 0 || l.slow && l.config.Place().candidate() {
+			wait = l.Step(ctx)
+		}
 	}
 }
 
@@ -223,7 +230,8 @@
 // pause returns the time to the next look: candidates look often, others in pairs of looks a term apart.
 func (l *Lease) pause() time.Duration {
 	place := l.config.Place()
-	if place.candidate() {
+	l.slow = !place.candidate()
+	if !l.slow {
 		return jitter(l.config.Term / renewalShare)
 	}
 	l.second = !l.second
--- a/internal/process/lease/lease_test.go
+++ b/internal/process/lease/lease_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -251,3 +253,62 @@
 		l.Step(context.Background())
 	}
 }
+
+// TestRankCountsProcessesOnce holds that a process which is listed twice, under an old incarnation too, takes one place.
+func TestRankCountsProcessesOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	once := []ident.Process{"a", "b", "c", "d"}
+	for _, self := range once {
+		is.Equal(lease.Rank("usage", self, append(once, "a", "a", "b", "c", "d")), lease.Rank("usage", self, once))
+	}
+}
+
+// TestNextInLineWatches holds that a process that watched slowly takes a vacant lease soon after those before it have gone, and
+// that in a small fleet every process does.
+func TestNextInLineWatches(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name          string
+		before, after lease.Place
+	}{
+		{"those before it have gone", lease.Place{Rank: 3, Members: 410}, lease.Place{Rank: 2, Members: 409}},
+		{"small fleet", lease.Place{Rank: 3, Members: 4}, lease.Place{Rank: 3, Members: 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rows := table.NewMemory()
+				begun := time.Now()
+				var gone atomic.Bool
+				process := func(name ident.Process, place func() lease.Place) *lease.Lease {
+					return lease.New(lease.Config{
+						Table: rows, Name: "usage", Process: name, Incarnation: ident.Incarnation(name), Term: term, Place: place,
+						Now: func() clock.Reading { return clock.Reading(time.Hour + time.Since(begun)) },
+					})
+				}
+				first := process("first", func() lease.Place { return lease.Place{Members: c.before.Members} })
+				next := process("next", func() lease.Place {
+					if gone.Load() {
+						return c.after
+					}
+					return c.before
+				})
+				holding, stop := context.WithCancel(t.Context())
+				go first.Run(holding)
+				time.Sleep(term)
+				watching, end := context.WithCancel(t.Context())
+				go next.Run(watching)
+				time.Sleep(3 * term)
+				stop()
+				gone.Store(true)
+				time.Sleep(2 * term) // The term, the drift, and a look each third of a term, with their spread.
+				fence, _, held := next.Held()
+				is.True(held)
+				is.Equal(fence, ident.Fence(2))
+				end()
+			})
+		})
+	}
+}
--- a/internal/process/lease/rank.go
+++ b/internal/process/lease/rank.go
@@ -11,6 +11,9 @@
 // Candidates is how many processes watch a lease closely.
 const Candidates = 3
 
+// smallFleet is up to how many processes all watch closely: when they are stopped in turn, few are left.
+const smallFleet = 6
+
 // spreadPerMember is the share of each further process in the slow watch of a lease.
 const spreadPerMember = 4 * time.Second
 
@@ -22,14 +25,17 @@
 	Members int
 }
 
-// Rank returns self's place for the named lease by rendezvous hashing; a process not listed counts as the last.
+// Rank returns self's place for the named lease by rendezvous hashing; a process not listed counts as the last, and one that is
+// listed twice once.
 func Rank(name string, self ident.Process, members []ident.Process) Place {
 	place := Place{Members: 1}
 	own := weight(name, self)
+	counted := map[ident.Process]bool{self: true}
 	for _, member := range members {
-		if member == self {
+		if counted[member] {
 			continue
 		}
+		counted[member] = true
 		place.Members++
 		if other := weight(name, member); other > own || other == own && member < self {
 			place.Rank++
@@ -47,4 +53,4 @@
 // All of them together look about once in spreadPerMember.
 func (p Place) slow() time.Duration { return time.Duration(p.Members) * spreadPerMember }
 
-func (p Place) candidate() bool { return p.Rank < Candidates }
+func (p Place) candidate() bool { return p.Rank < Candidates || p.Members <= smallFleet }
