--- a/internal/process/clock/remote.go
+++ b/internal/process/clock/remote.go
@@ -11,7 +11,7 @@
 // resolution is that of times that other processes show: they are told in whole milliseconds, rounded down.
 const resolution = time.Millisecond
 
-// Remote tells when, by the own clock, another process's steady clock showed a time: the latest time that surely is not too late.
+// Remote tells when, by the own clock, another process's steady clock showed a time: a lower bound, as late as is certain.
 //
 // One quick call tells how the clocks stand to each other, so that an answer that was waited for long counts from when it was
 // given and not from when it was asked for.
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// handler serves the counters, and what the router believes.
+// exposedHandler serves the counters, and what the router believes.
 func (r *Router) exposedHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
