Ask without a wait after a failed question

Cause: since an unanswered call ends the questions that wait, a router of which many writes go unanswered (a lost answer each second at the holder of the duty) hears nothing of the configuration between them: it grows old, and the router calls itself not ready, though the store answers. Ruled out: ending questions only after several lost answers (a dead connection would be found later). Change: the first question after a failed one has no wait, so that each failure is followed by an answer that shows the present state; after an outage a router is ready that much sooner too. Tests that fail before: TestStaysReadyWhileWritesLoseAnswers (not ready after 1.2 s, three of three), TestFollow.

--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -17,6 +17,10 @@
 	lastRetry  = time.Second
 )
 
+// shortWait is the wait of the first question after a failed one: it shows at once how the table stands, where a long one would
+// leave what is known to grow older.
+const shortWait = time.Millisecond
+
 // News is what a call brought.
 type News struct {
 	table.Batch
@@ -85,17 +89,24 @@
 	// revision is where the copy stands; meaningful only if listed.
 	revision table.Revision
 	listed   bool
+	// failed says that the last call failed.
+	failed bool
 }
 
 // step makes one call, applies what it brought and reports whether that was anything.
 func (f *follower) step(ctx context.Context) (bool, error) {
 	news := News{Whole: !f.listed, Since: f.config.Now()}
+	wait := f.config.Wait
+	if f.failed {
+		wait = shortWait
+	}
 	var err error
 	if f.listed {
-		news.Batch, err = f.config.Feed.Changes(ctx, f.config.Table, f.revision, f.config.Wait)
+		news.Batch, err = f.config.Feed.Changes(ctx, f.config.Table, f.revision, wait)
 	} else {
 		news.Batch, err = f.config.Feed.List(ctx, f.config.Table)
 	}
+	f.failed = err != nil
 	if err != nil {
 		if errors.Is(err, table.ErrForgotten) {
 			f.listed = false
--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -19,6 +19,8 @@
 	t     *testing.T
 	calls []func(since table.Revision, list bool) (table.Batch, error)
 	next  int
+	// waits are those of the questions for changes.
+	waits []time.Duration
 	done  context.CancelFunc
 }
 
@@ -35,7 +37,8 @@
 func (s *scripted) List(context.Context, string) (table.Batch, error) { return s.answer(0, true) }
 
 // Changes implements table.Feed.
-func (s *scripted) Changes(_ context.Context, _ string, since table.Revision, _ time.Duration) (table.Batch, error) {
+func (s *scripted) Changes(_ context.Context, _ string, since table.Revision, wait time.Duration) (table.Batch, error) {
+	s.waits = append(s.waits, wait)
 	return s.answer(since, false)
 }
 
@@ -73,6 +76,8 @@
 		})
 		is.Equal(whole, []bool{true, false, true, false})
 		is.Equal(failures, 3)
+		// After a failure the next question does not wait, so that it soon shows how the table stands.
+		is.Equal(feed.waits, []time.Duration{time.Second, time.Second, time.Millisecond, time.Second, time.Second})
 	})
 }
 
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -11,6 +11,7 @@
 
 	"vanillapond/platform"
 	"vanillapond/platform/platformtest"
+	"vanillapond/platform/storewire"
 )
 
 // TestWholePath follows one deployment from start to stop.
@@ -123,6 +124,26 @@
 	r.stop()
 }
 
+// TestStaysReadyWhileWritesLoseAnswers holds that a router of which many writes go unanswered, but whose questions are answered,
+// stays ready: what it knows does not grow old because each lost answer casts doubt on all connections.
+func TestStaysReadyWhileWritesLoseAnswers(t *testing.T) {
+	t.Parallel()
+	r := start(t, 1)
+	r.store.Fail(func(path string, calls int) platformtest.Fault {
+		if path == storewire.PathCommit && calls%2 == 0 {
+			return platformtest.LoseAnswer
+		}
+		return 0
+	})
+	for end := time.Now().Add(3 * revoke); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if got := status(r.ready[0]); got != http.StatusOK {
+			t.Fatalf("readiness answers %d", got)
+		}
+	}
+	r.store.Heal()
+	r.stop()
+}
+
 // TestUsage holds that each window is reported with what began in it, never twice with other figures, though answers to
 // reports and to writes are lost.
 func TestUsage(t *testing.T) {
