Know by the end of a disturbance what happened in it, also where the store was well

The waits of questions were reckoned for servers that leave after a disturbance; where a router alone was disturbed, a server may leave, or a version come, in the midst of it, and must be known when it is over. A question whose answer was lost took up to its wait and 1.2 s. Ruled out: the check (a router's own disturbance ends 2 s after the last touch, as the bounds say); the machine's load (the gap is that of the wait). Change: questions for servers and configuration wait no longer than the contact time less the call's time-out and the next question.

--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -62,10 +62,9 @@
 
 // run starts the loops.
 func (r *Router) run(ctx context.Context) {
-	configWait := share(configShare, r.settings.Bounds.Revoke)
 	loops := []func(context.Context){
 		// A pause before the next question would make the knowledge of the configuration older.
-		r.follow(platform.OperatorTable, configWait, 0, r.applyConfiguration),
+		r.follow(platform.OperatorTable, configWait(r.settings.Bounds), 0, r.applyConfiguration),
 		r.follow(platform.ServersTable, serversWait(r.settings.Bounds), serversGather, r.applyServers),
 		r.peers.Run, r.sweep, r.gossip.listen, r.gossip.tell,
 	}
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -14,11 +14,12 @@
 	// configuration waits. Knowledge counts from when the store gave its last answer, so that it grows as old as one question
 	// takes; the rest up to unreadyShare is for a slow answer.
 	configShare = 0.45
-	// maxServersWait and minServersWait bound how long a question for changed servers waits. Changes come at once; a longer
-	// wait saves calls, and finds a dead connection later.
+	// maxServersWait bounds how long a question for changed servers waits. Changes come at once; a longer wait saves calls, and
+	// finds a dead connection later.
 	maxServersWait = 5 * time.Second
-	minServersWait = 500 * time.Millisecond
-	// resumeTime is how long the next question for changed servers takes after one failed: a pause and an answer.
+	// minWait is the least wait of a question, whatever the bounds: a shorter one would only make more calls.
+	minWait = 250 * time.Millisecond
+	// resumeTime is how long the next question takes after one was given up: a pause, an answer, and some room.
 	resumeTime = 500 * time.Millisecond
 	// serversGather is how long changes of servers are gathered: a fleet that starts enters itself one by one.
 	serversGather = 400 * time.Millisecond
@@ -72,11 +73,19 @@
 	return max(bounds.Contact-sweepInterval-placeTime, sweepInterval)
 }
 
-// serversWait returns how long a question for changed servers waits, so that one whose answer was lost in a disturbance is
-// asked again before a server that leaves after the disturbance must get no new requests.
-func serversWait(bounds platform.Bounds) time.Duration {
-	if bounds.Contact == 0 || bounds.Drain == 0 {
-		return maxServersWait
+// serversWait returns how long a question for changed servers waits.
+func serversWait(bounds platform.Bounds) time.Duration { return withinContact(bounds, maxServersWait) }
+
+// configWait returns how long a question for a new configuration waits.
+func configWait(bounds platform.Bounds) time.Duration {
+	return withinContact(bounds, share(configShare, bounds.Revoke))
+}
+
+// withinContact shortens a question's wait so that one whose answer was lost in a disturbance is asked again before the
+// disturbance counts as over: from then on, what happened meanwhile must be known.
+func withinContact(bounds platform.Bounds, wait time.Duration) time.Duration {
+	if bounds.Contact == 0 {
+		return wait
 	}
-	return min(max(bounds.Contact+bounds.Drain-storeTimeout-resumeTime, minServersWait), maxServersWait)
+	return min(wait, max(bounds.Contact-storeTimeout-resumeTime, minWait))
 }
--- a/internal/role/router/times_test.go
+++ b/internal/role/router/times_test.go
@@ -9,22 +9,26 @@
 	"vanillapond/platform"
 )
 
-// TestServersWait holds that a question whose answer is lost at the end of a disturbance is given up and asked again before
-// a server that leaves once the disturbance is over must get no new requests.
-func TestServersWait(t *testing.T) {
+// TestWaits holds that a question whose answer is lost at the end of a disturbance of this process alone is given up and asked
+// again by the time the disturbance counts as over: a server may have left, or a version come, while it went on.
+func TestWaits(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	for _, c := range []struct{ contact, drain time.Duration }{
-		{4 * time.Second, 3 * time.Second}, {3 * time.Second, 2 * time.Second}, {2 * time.Second, 1500 * time.Millisecond},
-	} {
-		wait := serversWait(platform.Bounds{Contact: c.contact, Drain: c.drain})
-		is.True(wait >= time.Second)
-		is.True(wait+storeTimeout < c.contact+c.drain)
+	for _, contact := range []time.Duration{4 * time.Second, 3 * time.Second, 2 * time.Second} {
+		bounds := platform.Bounds{Contact: contact, Revoke: 5 * time.Second}
+		for _, wait := range []time.Duration{serversWait(bounds), configWait(bounds)} {
+			is.True(wait >= minWait)
+			is.True(wait+storeTimeout+lastResume < contact)
+		}
 	}
 	is.Equal(serversWait(platform.Bounds{}), maxServersWait)
-	is.Equal(serversWait(platform.Bounds{Contact: time.Second, Drain: time.Second}), minServersWait)
+	is.Equal(serversWait(platform.Bounds{Contact: time.Second}), minWait)
+	is.Equal(configWait(platform.Bounds{Revoke: 2 * time.Second}), share(configShare, 2*time.Second))
 }
 
+// lastResume is what a question takes at most after one that was given up, where the store answers: a pause and an answer.
+const lastResume = 250 * time.Millisecond
+
 // TestContactLeft holds that missing servers are not used any more when the disturbance that hides them counts as over.
 func TestContactLeft(t *testing.T) {
 	t.Parallel()
