Make two tests of connections independent of how busy the machine is

Its context ended 50 ms after the start, also where the connection was not made by then; the outcome not_run was right, as nothing had been sent. Six copies beside twelve busy processes showed a second one: TestOnceWantsAYoungConnection, 11 failures in 900 runs, a reset where the scripted server closed after its answer and the client took that connection before the close had come. Ruled out: a fault of the pool. It reports what was sent truly in both cases. Change: the first test ends its context once the server has the request, and a new test states the other case, a caller who leaves before the connection is made. In the second the server announces that it closes. No bound was widened. Conclusion: the tests now depend on events, not on time.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -212,14 +212,14 @@
 func TestCallerLeaves(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	p := pool(serve(t, func(conn net.Conn, requests *bufio.Reader) {
 		take(requests)
+		leave()
 		_, err := conn.Read(make([]byte, 1))
 		ended <- err
 	}))
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
 	_, err := p.Send(ctx, request("1"))
 	var failure *direct.Error
 	is.True(errors.As(err, &failure))
@@ -228,6 +228,26 @@
 	is.True(<-ended != nil)
 }
 
+// TestCallerLeavesBeforeTheConnection holds that a request whose caller left while its connection was being made did not run,
+// and that this says nothing against the server.
+func TestCallerLeavesBeforeTheConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	p := direct.New(direct.Config{Address: "127.0.0.1:1", DialTimeout: time.Minute, Dial: dial})
+	_, err := p.Send(ctx, request("1"))
+	var failure *direct.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Outcome, outcome.NotRun)
+	is.True(!failure.Broken)
+	is.True(!failure.Unreachable)
+}
+
 // TestEarlyAnswer plays a server that answers a long request before it has read it, and reads on later.
 func TestEarlyAnswer(t *testing.T) {
 	t.Parallel()
@@ -277,7 +297,9 @@
 			say(conn, answer(id, "old"))
 		}
 	}
-	fresh := func(conn net.Conn, requests *bufio.Reader) { say(conn, answer(take(requests), "new")) }
+	fresh := func(conn net.Conn, requests *bufio.Reader) {
+		say(conn, "HTTP/1.1 200 OK\r\nX-Id: "+take(requests)+"\r\nConnection: close\r\nContent-Length: 3\r\n\r\nnew")
+	}
 	p := pool(serve(t, reused, fresh))
 	_, err := send(t, p, "1")
 	is.NoErr(err)
