--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -316,3 +316,25 @@
 	is.NoErr(err)
 	is.Equal(body2, "old")
 }
+
+// TestCallerLeavesBeforeTheBodyIsWritten ends requests while the goroutine that writes their long body has hardly begun.
+func TestCallerLeavesBeforeTheBodyIsWritten(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for range 200 {
+		ctx, leave := context.WithCancel(t.Context())
+		here, there := net.Pipe()
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			leave()
+			return here, nil
+		}
+		p := direct.New(direct.Config{Address: "127.0.0.1:1", DialTimeout: time.Minute, Dial: dial})
+		long := request("1")
+		long.Body = []byte(strings.Repeat("x", 1<<20))
+		_, err := p.Send(ctx, long)
+		var failure *direct.Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Outcome, outcome.Unknown)
+		is.NoErr(there.Close())
+	}
+}
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -94,10 +94,12 @@
 			return err
 		}
 	} else {
+		// The response may be closed before the goroutine runs, and forgets its connection then.
+		conn := r.conn
 		go func() {
 			defer close(r.written)
 			// A failure shows when the answer is read, unless the server answered before it broke off.
-			_, err := r.conn.Write(message)
+			_, err := conn.Write(message)
 			r.unsent = err != nil
 		}()
 	}
