--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := r.config.Now()
+	now, wall := r.config.Now(), r.config.Wall()
 	rows := make(map[table.Key]Row, len(batch.Changes))
 	revisions := make(map[table.Key]table.Revision, len(batch.Changes))
 	for _, change := range batch.Changes {
@@ -234,7 +234,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.timeline.read(now, now.Sub(before)/2, batch.ServiceTime, r.config.Wall())
+	r.timeline.read(now, now.Sub(before)/2, batch.ServiceTime, wall)
 	r.learn(now, rows, revisions)
 	return rows, nil
 }
