Hold callers to the configured limits on heads and idle connections

Cause: the limits on how long a head may take and a connection may stay unused were fixed (5 s, two minutes); the operator's were read and not used, so that idle callers could hold an entry's descriptors for two minutes. What went wrong outside of requests, such as a connection that could not be accepted, was dropped without a line. Ruled out: http.Server's own fields, which must not change while it serves. Change: connections set their read deadlines by the newest configuration; an unused connection goes on where its limit has grown meanwhile, so that callers who trust the newer limit find it open. Errors outside of requests are logged as listener_error. Tests: TestDeadlines, TestIdleLimit (fails without the extension; without the limits it waits two minutes).

--- a/internal/process/listener/guard.go
+++ b/internal/process/listener/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,10 +29,11 @@
 	})
 }
 
-// bounded is a socket whose connections give up on a write that is not taken.
+// bounded is a socket whose connections give up on a write that is not taken, and keep to limits that may change.
 type bounded struct {
 	net.Listener
 	timeout time.Duration
+	limits  func() Limits
 }
 
 // Accept implements net.Listener.
@@ -40,12 +42,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &boundedConn{Conn: conn, timeout: b.timeout}, nil
+	return &boundedConn{Conn: conn, timeout: b.timeout, limits: b.limits}, nil
 }
 
 type boundedConn struct {
 	net.Conn
 	timeout time.Duration
+	// limits is nil where the server's own limits hold.
+	limits func() Limits
+	// phase holds a phase.
+	phase atomic.Int32
+	// idleSince is since when the connection is unused, nil while it is used.
+	idleSince atomic.Pointer[time.Time]
 }
 
 // Write implements net.Conn.
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -2,10 +2,10 @@
 package listener
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -35,6 +35,11 @@
 	IdleTimeout time.Duration
 	// WriteTimeout bounds how long a caller may leave one write untaken; 0 means half a minute.
 	WriteTimeout time.Duration
+	// Limits returns the limits that are in force now; nil means that the listener's own hold. They do not apply under TLS.
+	Limits func() Limits
+	// OnError is told of what goes wrong outside of requests, such as a connection that cannot be accepted; nil means that
+	// nobody is.
+	OnError func(message string)
 	// OnPanic is told of a request that panicked; nil means that nobody is.
 	OnPanic func(reason string)
 }
@@ -68,12 +73,13 @@
 	l := &Listener{
 		server: &http.Server{
 			TLSConfig:         config.TLS,
-			ErrorLog:          log.New(io.Discard, "", 0),
+			ErrorLog:          log.New(errorWriter(config.OnError), "", 0),
+			ConnState:         follow,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       config.IdleTimeout,
 			MaxHeaderBytes:    maxHeader,
 		},
-		socket: bounded{Listener: socket, timeout: config.WriteTimeout},
+		socket: bounded{Listener: socket, timeout: config.WriteTimeout, limits: config.Limits},
 		done:   make(chan struct{}),
 	}
 	l.server.Handler = l.closing(contain(config.Handler, config.OnPanic))
@@ -81,6 +87,17 @@
 	return l, nil
 }
 
+// errorWriter passes each message on to a function; nil drops them.
+type errorWriter func(message string)
+
+// Write implements io.Writer.
+func (w errorWriter) Write(message []byte) (int, error) {
+	if w != nil {
+		w(string(bytes.TrimSpace(message)))
+	}
+	return len(message), nil
+}
+
 // closing tells callers after Leave not to use their connection again.
 func (l *Listener) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -148,15 +148,16 @@
 // listen opens the sockets; callers come last.
 func (r *Router) listen(ctx context.Context, config Config) error {
 	panicked := func(reason string) { r.journal.Log("panic", "reason", reason) }
+	failed := func(message string) { r.journal.Log("listener_error", "err", message) }
 	var err error
 	if config.MetricsPort != 0 {
 		address := r.settings.Address + ":" + strconv.Itoa(config.MetricsPort)
-		if r.exposed, err = listener.Start(ctx, listener.Config{Address: address, Handler: r.exposedHandler(), OnPanic: panicked}); err != nil {
+		if r.exposed, err = listener.Start(ctx, listener.Config{Address: address, Handler: r.exposedHandler(), OnPanic: panicked, OnError: failed}); err != nil {
 			r.journal.Log("metrics_unavailable", "address", address, "err", err)
 		}
 	}
 	handler := http.HandlerFunc(r.answerReady)
-	if r.ready, err = listener.Start(ctx, listener.Config{Address: r.settings.ReadyAddress, Handler: handler, OnPanic: panicked}); err != nil {
+	if r.ready, err = listener.Start(ctx, listener.Config{Address: r.settings.ReadyAddress, Handler: handler, OnPanic: panicked, OnError: failed}); err != nil {
 		return err
 	}
 	accepting, err := socket.Listen(ctx, r.settings.CallersAddress)
@@ -164,11 +165,22 @@
 		return oops.Wrapf(err, "listen on %s", r.settings.CallersAddress)
 	}
 	r.callers, err = listener.Start(ctx, listener.Config{
-		Socket: accepting, Handler: r.forwarder(), OnPanic: panicked, WriteTimeout: callerWriteTimeout,
+		Socket: accepting, Handler: r.forwarder(), OnPanic: panicked, OnError: failed, WriteTimeout: callerWriteTimeout,
+		Limits: r.callerLimits,
 	})
 	return err
 }
 
+// callerLimits returns what the newest configuration allows callers.
+func (r *Router) callerLimits() listener.Limits {
+	known := r.current.Table()
+	if known == nil {
+		return listener.Limits{}
+	}
+	limits := known.Limits()
+	return listener.Limits{Head: limits.HeaderTimeout.Duration(), Idle: limits.IdleTimeout.Duration()}
+}
+
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Budget: r.budget,
