One wait, one way to explore: remove copies

No check was changed: the five model tests run the same bodies, and each case that takes a mechanism off still finds its fault.

--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -125,7 +125,7 @@
 		}
 		next.left = max(next.left, 1)
 		e.held += size
-		e.evict(0)
+		e.evict()
 		e.reading = append(e.reading, next)
 		for _, part := range next.arrival.Parts {
 			e.keep(now, part)
@@ -139,12 +139,12 @@
 		e.kept += part.Tokens
 	}
 	e.cached[part.ID] = cachedPart{tokens: part.Tokens, used: now}
-	e.evict(0)
+	e.evict()
 }
 
-// evict drops cached parts until they leave some room beside what requests hold.
-func (e *engine) evict(room ident.Tokens) {
-	for len(e.cached) > 0 && e.held+e.kept+room > e.plan.Memory {
+// evict drops cached parts until they fit beside what requests hold.
+func (e *engine) evict() {
+	for len(e.cached) > 0 && e.held+e.kept > e.plan.Memory {
 		var oldest uint64
 		first := true
 		for id, part := range e.cached {
@@ -202,5 +202,5 @@
 		e.waiting = append(e.waiting, last)
 		e.preempted++
 	}
-	e.evict(0)
+	e.evict()
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -22,7 +22,7 @@
 
 // policy decides for all entries; each may know only what its entry has sent and was told.
 type policy interface {
-	decide(now time.Time, entry int, waited time.Duration, query placement.Query) decision
+	decide(now time.Time, entry int, query placement.Query) decision
 	// ended tells that a request has left its engine.
 	ended(entry, engine int)
 	// tell lets the entries exchange what they know.
@@ -54,11 +54,10 @@
 	boards []*placement.Board
 	random *rand.Rand
 	admits bool
-	plan   Plan
 }
 
 func newRouterPolicy(plan Plan, seed uint64, admits bool) *routerPolicy {
-	p := &routerPolicy{admits: admits, plan: plan, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // Seeded on purpose.
+	p := &routerPolicy{admits: admits, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // Seeded on purpose.
 	for entry := range plan.Entries {
 		board := placement.New(seed + uint64(entry))
 		board.Update(placement.Generation{Servers: 1}, func() []placement.Candidate {
@@ -76,14 +75,14 @@
 // engineID names an engine; the index is its end.
 func engineID(index int) ident.Endpoint { return ident.Endpoint(strconv.Itoa(index)) }
 
-func (p *routerPolicy) decide(now time.Time, entry int, waited time.Duration, query placement.Query) decision {
+func (p *routerPolicy) decide(now time.Time, entry int, query placement.Query) decision {
 	choice, _ := p.boards[entry].Pick(now, query)
 	engine, err := strconv.Atoi(string(choice.Server))
 	if err != nil {
 		return decision{refused: true}
 	}
 	if p.admits {
-		verdict := admission.Decide(admission.Request{Ahead: choice.Ahead, Objective: query.Objective, Waited: waited, Random: p.random.Float64()})
+		verdict := admission.Decide(admission.Request{Ahead: choice.Ahead, Objective: query.Objective, Random: p.random.Float64()})
 		if !verdict.Admit {
 			return decision{refused: true, returnAfter: verdict.ReturnAfter}
 		}
@@ -123,7 +122,7 @@
 	ranks  bool
 }
 
-func (p *leastOutstanding) decide(_ time.Time, entry int, _ time.Duration, _ placement.Query) decision {
+func (p *leastOutstanding) decide(_ time.Time, entry int, _ placement.Query) decision {
 	least := 0
 	for engine, count := range p.counts[entry] {
 		if count < p.counts[entry][least] {
@@ -144,7 +143,7 @@
 	engines int
 }
 
-func (p *roundRobin) decide(_ time.Time, entry int, _ time.Duration, _ placement.Query) decision {
+func (p *roundRobin) decide(_ time.Time, entry int, _ placement.Query) decision {
 	p.next[entry] = (p.next[entry] + 1) % p.engines
 	return decision{engine: p.next[entry]}
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -151,7 +151,7 @@
 	if r.outcome != "" {
 		return
 	}
-	decided := s.policy.decide(epoch.Add(s.now), r.entry, 0, r.arrival.query(*r.class))
+	decided := s.policy.decide(epoch.Add(s.now), r.entry, r.arrival.query(*r.class))
 	if decided.refused {
 		s.refuse(r, decided.returnAfter)
 		return
--- a/internal/interleave/interleave.go
+++ b/internal/interleave/interleave.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 )
 
 // Chooser makes the choices of one run.
@@ -21,17 +22,22 @@
 	States int
 }
 
-// Explore runs body until all sequences of choices were made; body must be deterministic but for them.
-func Explore(body func(*Chooser)) Result {
+// Explore runs body until all sequences of choices were made or one failed; body must be deterministic but for them.
+//
+// The error is the first failure with the choices that led to it.
+func Explore(body func(*Chooser) error) (Result, error) {
 	chooser := &Chooser{seen: make(map[[sha256.Size]byte]struct{})}
 	var result Result
 	for {
 		chooser.depth = 0
-		body(chooser)
+		err := body(chooser)
 		result.Runs++
+		result.States = len(chooser.seen)
+		if err != nil {
+			return result, fmt.Errorf("%w after choices %v", err, chooser.Path())
+		}
 		if !chooser.advance() {
-			result.States = len(chooser.seen)
-			return result
+			return result, nil
 		}
 	}
 }
--- a/internal/process/billing/model_test.go
+++ b/internal/process/billing/model_test.go
@@ -321,17 +321,9 @@
 
 func (s script) explore(t *testing.T) error {
 	t.Helper()
-	var failure error
-	result := interleave.Explore(func(chooser *interleave.Chooser) {
-		if failure != nil {
-			return
-		}
-		if err := newModel(chooser, s).run(t.Context()); err != nil {
-			failure = fmt.Errorf("%w after %v", err, chooser.Path())
-		}
-	})
+	result, err := interleave.Explore(func(chooser *interleave.Chooser) error { return newModel(chooser, s).run(t.Context()) })
 	t.Logf("%s: %d states, %d runs", s.name, result.States, result.Runs)
-	return failure
+	return err
 }
 
 func TestReportsOverAllInterleavings(t *testing.T) {
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -121,11 +121,5 @@
 
 // pause waits for about the given time, spread so that processes do not come back in step, or until the channel is closed.
 func pause(ctx context.Context, wait time.Duration, early <-chan struct{}) {
-	timer := time.NewTimer(wait/2 + rand.N(wait)) //nolint:gosec // Spreads load only.
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-early:
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, wait/2+rand.N(wait), early) //nolint:gosec // Spreads load only.
 }
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-kit/log"
+
+	"vanillapond/internal/process/clock"
 )
 
 // Bounds of the log.
@@ -128,7 +130,7 @@
 	for {
 		select {
 		case line := <-j.queue:
-			pause(ctx, flushInterval)
+			clock.Sleep(ctx, flushInterval, nil)
 			j.flush(line)
 		case <-ctx.Done():
 			j.flush(nil)
@@ -137,15 +139,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // flush writes all that is queued at once; a failing output has nobody to tell.
 func (j *Journal) flush(batch []byte) {
 	for {
--- a/internal/process/lease/lease.go
+++ b/internal/process/lease/lease.go
@@ -141,11 +141,8 @@
 	for {
 		// A process that becomes a candidate meanwhile looks at once instead of at the end of a long wait.
 		slice := min(wait, l.config.Term)
-		timer := time.NewTimer(slice)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		clock.Sleep(ctx, slice, nil)
+		if ctx.Err() != nil {
 			return
 		}
 		if wait -= slice; wait <= 0 || l.slow && l.config.Place().candidate() {
--- a/internal/process/ledger/model_test.go
+++ b/internal/process/ledger/model_test.go
@@ -252,20 +252,14 @@
 // explore returns the first failure on any path.
 func (s script) explore(t *testing.T) error {
 	t.Helper()
-	var failure error
-	result := interleave.Explore(func(chooser *interleave.Chooser) {
-		if failure != nil {
-			return
-		}
+	result, err := interleave.Explore(func(chooser *interleave.Chooser) error {
 		m := newModel(chooser, s.faults)
 		m.requests, m.crashes, m.cuts, m.seals = s.requests, s.crashes, s.cuts, s.seals
 		m.table.Unchecked = s.unchecked
-		if err := m.run(t.Context()); err != nil {
-			failure = fmt.Errorf("%w after %v", err, chooser.Path())
-		}
+		return m.run(t.Context())
 	})
 	t.Logf("%s: %d states, %d runs", s.name, result.States, result.Runs)
-	return failure
+	return err
 }
 
 func TestExactlyOnceOverAllInterleavings(t *testing.T) {
--- a/internal/process/orders/model_test.go
+++ b/internal/process/orders/model_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -154,7 +155,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	var sent, handOvers int
-	result := interleave.Explore(func(chooser *interleave.Chooser) {
+	result, err := interleave.Explore(func(chooser *interleave.Chooser) error {
 		m := &model{
 			chooser: chooser, expiries: 1, effects: make(map[ident.Endpoint]platform.Action),
 			table: &interleave.Table{Memory: table.NewMemory(), Chooser: chooser, Faults: 2},
@@ -164,18 +165,20 @@
 			m.broken = fmt.Sprintf("the last holder left %v", m.effects)
 		}
 		if m.broken != "" {
-			t.Fatalf("%s after choices %v", m.broken, chooser.Path())
+			return errors.New(m.broken)
 		}
 		for len(m.table.Delayed) > 0 {
 			m.table.Deliver(ctx)
 		}
 		rows, _ := m.table.Memory.Read(ctx, "orders/d1")
 		if left := intents(rows[0].Value); len(left) > 0 {
-			t.Fatalf("a late transaction left intents %v after choices %v", left, chooser.Path())
+			return fmt.Errorf("a late transaction left intents %v", left)
 		}
 		sent += len(m.received)
 		handOvers += int(m.fence) - 1
+		return nil
 	})
+	is.NoErr(err)
 	t.Logf("%d interleavings, %d orders received, %d hand-overs", result.Runs, sent, handOvers)
 	is.True(handOvers > 0 && sent > result.Runs)
 }
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -171,12 +171,7 @@
 			r.config.Log("entry_unwritten", "err", err)
 		}
 		beat := r.Beat()
-		timer := time.NewTimer(beat - beat/8 + rand.N(beat/4)) //nolint:gosec // Spreads load only.
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		clock.Sleep(ctx, beat-beat/8+rand.N(beat/4), nil) //nolint:gosec // Spreads load only.
 	}
 }
 
--- a/internal/process/usage/model_test.go
+++ b/internal/process/usage/model_test.go
@@ -293,17 +293,9 @@
 
 func (s modelScript) explore(t *testing.T) error {
 	t.Helper()
-	var failure error
-	result := interleave.Explore(func(chooser *interleave.Chooser) {
-		if failure != nil {
-			return
-		}
-		if err := newModelRun(chooser, s).run(t.Context()); err != nil {
-			failure = fmt.Errorf("%w after %v", err, chooser.Path())
-		}
-	})
+	result, err := interleave.Explore(func(chooser *interleave.Chooser) error { return newModelRun(chooser, s).run(t.Context()) })
 	t.Logf("%s: %d states, %d runs", s.name, result.States, result.Runs)
-	return failure
+	return err
 }
 
 // TestModelOneFigure visits every order of calls, lost answers, late writes and takeovers: a window has one figure.
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
@@ -75,7 +76,7 @@
 		}
 		if err != nil {
 			g.router.journal.Log("peers_unheard", "err", err)
-			sleep(ctx, minTell)
+			clock.Sleep(ctx, minTell, nil)
 			continue
 		}
 		var heard message
@@ -98,7 +99,7 @@
 func (g *gossip) tell(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := g.router.peers.Peers()
-		sleep(ctx, min(max(minTell, time.Duration(len(peers))*tellPerPeer), maxTell))
+		clock.Sleep(ctx, min(max(minTell, time.Duration(len(peers))*tellPerPeer), maxTell), nil)
 		if len(peers) == 0 {
 			continue
 		}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -264,7 +264,7 @@
 		r.journal.Log("lease_not_released", "err", err)
 	}
 	cancel()
-	sleep(ctx, time.Until(began.Add(acceptTime)))
+	clock.Sleep(ctx, time.Until(began.Add(acceptTime)), nil)
 	draining, cancel := context.WithDeadline(ctx, began.Add(grace-stopReserve))
 	r.callers.Drain(draining)
 	cancel()
@@ -286,14 +286,5 @@
 	r.journal.Close(journalTimeout)
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // configAge returns how old the knowledge of the configuration is.
 func (r *Router) configAge() time.Duration { return r.current.Age(clock.Boot()) }
--- a/internal/version/routes/model_test.go
+++ b/internal/version/routes/model_test.go
@@ -124,18 +124,12 @@
 
 func exploreWithdrawal(t *testing.T, fromAnswer bool) error {
 	t.Helper()
-	var failure error
-	result := interleave.Explore(func(chooser *interleave.Chooser) {
-		if failure != nil {
-			return
-		}
+	result, err := interleave.Explore(func(chooser *interleave.Chooser) error {
 		m := &withdrawalModel{chooser: chooser, current: &routes.Current{}, version: 1, revision: 1, fromAnswer: fromAnswer}
-		if err := m.run(); err != nil {
-			failure = fmt.Errorf("%w after %v", err, chooser.Path())
-		}
+		return m.run()
 	})
 	t.Logf("%d states, %d runs", result.States, result.Runs)
-	return failure
+	return err
 }
 
 // TestModelWithdrawal visits every order of questions, lost and late answers and changes: a withdrawn key ends in time, also at
