Let a new holder of the duty go on where its predecessor stopped

Ruled out: the lease (it changed hands as it should), the store's refusals. Change: the write that freezes a window also names the last window surely reported, at no further call; a new holder reads it once. All that is due is reported at one look instead of one window a half second. Test: TestSuccessorGoesOn (before: the predecessor's window came again, and three looks were needed).

--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -16,9 +16,13 @@
 	"vanillapond/pkg/ident"
 )
 
-// frozenTable holds one row a window with the figures that are reported, which never change.
+// frozenTable holds one row a window with the figures that are reported, which never change, and a row that names the last
+// window that is surely reported.
 const frozenTable = "usage"
 
+// sentKey is the key of the last window that is surely reported; the windows before it are, too.
+const sentKey = table.Key(frozenTable + "/sent")
+
 // keptFrozen is how many windows a frozen row stays after it was reported: longer than any holder may still send it.
 const keptFrozen = 4 * keptWindows
 
@@ -108,7 +112,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			if err := r.Step(ctx); err != nil && ctx.Err() == nil {
+			if err := r.Report(ctx); err != nil && ctx.Err() == nil {
 				r.config.Log("usage_report_failed", "err", err)
 			}
 		case <-ctx.Done():
@@ -117,6 +121,16 @@
 	}
 }
 
+// Report reports all windows that are due, if the lease is held: after an outage one look makes up for several.
+func (r *Reporter) Report(ctx context.Context) error {
+	for {
+		before := r.sent
+		if err := r.Step(ctx); err != nil || r.sent == before {
+			return err
+		}
+	}
+}
+
 // Step reports the oldest window that is due, if the lease is held.
 func (r *Reporter) Step(ctx context.Context) error {
 	r.open.Store(0)
@@ -130,9 +144,11 @@
 	now := r.config.Now()
 	due := WindowAt(now.Add(-settleBeats*r.config.Beat()), r.config.Length) - 1
 	if r.fence != grant.Fence {
-		// A predecessor may have left the windows of its last moments open.
-		r.fence = grant.Fence
-		r.sent = due - Window(r.config.Late/r.config.Length) - 1
+		sent, err := r.resume(ctx, due)
+		if err != nil {
+			return err
+		}
+		r.fence, r.sent = grant.Fence, sent
 	}
 	r.open.Store(int64(max(due-r.sent, 0)))
 	if r.sent >= due {
@@ -163,6 +179,30 @@
 	return nil
 }
 
+// resume returns the last window that need not be reported in a new term.
+//
+// A predecessor may have left the windows of its last moments open; older ones are too late.
+func (r *Reporter) resume(ctx context.Context, due Window) (Window, error) {
+	oldest := due - Window(r.config.Late/r.config.Length) - 1
+	rows, err := r.config.Table.Read(ctx, sentKey)
+	if err != nil {
+		return 0, err
+	}
+	if rows[0].Revision == 0 {
+		return oldest, nil
+	}
+	var sent Window
+	if err := json.Unmarshal(rows[0].Value, &sent); err != nil {
+		r.config.Log("usage_row_unreadable", "key", sentKey, "err", err)
+		return oldest, nil
+	}
+	if sent > due {
+		// The predecessor's time was ahead; a repeat does no harm, a window left out would.
+		return oldest, nil
+	}
+	return max(sent, oldest), nil
+}
+
 // timeout bounds one call.
 func (r *Reporter) timeout() time.Duration {
 	return time.Duration(sendShare * float64(r.config.Lease.Term()))
@@ -196,7 +236,11 @@
 	}
 	transaction := table.Transaction{
 		Checks: []table.Check{{Key: key}, held},
-		Writes: []table.Write{{Key: key, Value: value}, {Key: frozenKey(window - keptFrozen), Delete: true}},
+		Writes: []table.Write{
+			{Key: key, Value: value},
+			{Key: frozenKey(window - keptFrozen), Delete: true},
+			{Key: sentKey, Value: strconv.AppendInt(nil, int64(window-1), 10)},
+		},
 	}
 	if err := r.config.Table.Commit(ctx, transaction); err != nil {
 		// Whether it was written shows when the row is read again.
--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -127,6 +127,32 @@
 	is.Equal(len(to.reports), before) // Nothing is sent without the lease.
 }
 
+// TestSuccessorGoesOn holds that a new holder begins with what its predecessor has not surely reported, and makes up for all that
+// is open at one look.
+func TestSuccessorGoesOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	end := window.End(length)
+	rows := table.NewMemory()
+	to := &platform{}
+	first := newRig(rows, to, end.Add(1500*time.Millisecond), 7)
+	is.NoErr(first.Report(t.Context()))
+	is.Equal(len(to.reports), 3) // What is due, and what an unknown predecessor may have left open.
+
+	second := newRig(rows, to, end.Add(length+1500*time.Millisecond), 8)
+	is.NoErr(second.Report(t.Context()))
+	is.Equal(to.reports[3:], []sent{{8, window, 0}, {8, window + 1, 0}})
+
+	// A predecessor whose time was far ahead does not keep windows from being reported.
+	ahead := newRig(rows, to, end.Add(10*length), 9)
+	is.NoErr(ahead.Report(t.Context()))
+	before := len(to.reports)
+	third := newRig(rows, to, end.Add(2*length+1500*time.Millisecond), 10)
+	is.NoErr(third.Report(t.Context()))
+	is.Equal(to.reports[len(to.reports)-1], sent{10, window + 2, 0})
+	is.Equal(len(to.reports)-before, 3)
+}
+
 // TestWaitsNoLongerThanHalfTheTime closes a window although an entry that counted in it stays silent.
 func TestWaitsNoLongerThanHalfTheTime(t *testing.T) {
 	t.Parallel()
