Soak: late and slow calls to the store, and large fleets

Cause: the soak's store never did a write after its caller had given it up, which is how a lease or a frozen figure could be doubled, and its runs had three routers.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,8 @@
 // Package soak_test runs real router processes against stand-ins and breaks what is around them, by a seed.
 //
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
-// SOAK_LOGS names a folder for the processes' logs.
+// Seeds from 10,000 on also draw late and slow calls to the store. -routers 60 plays a large fleet. SOAK_LOGS names a folder for the
+// processes' logs.
 package soak_test
 
 import (
@@ -13,6 +14,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -28,8 +30,12 @@
 	first   = flag.Uint64("first", 1, "the first seed")
 	seeds   = flag.Uint64("seeds", 1, "how many seeds are run")
 	trouble = flag.Duration("trouble", 8*time.Second, "how long faults go on in each run")
+	routers = flag.Int("routers", 3, "how many routers each run has")
 )
 
+// lateFrom is the first seed whose store also makes calls late and slowly; earlier ones keep the draws that they had.
+const lateFrom = 10_000
+
 // regressions are seeds that once failed, each with its cause.
 var regressions = []uint64{
 	// The stand-in's answers lost a change that came as the question's wait ended, so that servers that had left and keys that
@@ -41,13 +47,16 @@
 	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
 }
 
+// lateSeeds are run each time, so that short runs meet late and slow calls, too.
+var lateSeeds = []uint64{lateFrom + 1, lateFrom + 2}
+
 // TestSoak runs each seed.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "vanillapond")
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/vanillapond").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	all := append([]uint64{}, regressions...)
+	all := slices.Concat(regressions, lateSeeds)
 	for seed := *first; seed < *first+*seeds; seed++ {
 		all = append(all, seed)
 	}
@@ -130,9 +139,9 @@
 			mend()
 		})
 	}
-	busy := make([]bool, routers)
+	busy := make([]bool, len(w.nodes))
 	for time.Now().Before(until) {
-		index := w.random.IntN(routers)
+		index := w.random.IntN(len(w.nodes))
 		n := w.nodes[index]
 		switch w.random.IntN(11) {
 		case 0:
@@ -154,7 +163,7 @@
 		case 6:
 			w.leave(w.random.IntN(len(w.hosts)), w.random.IntN(2) == 0, later)
 		case 7:
-			fault := platformtest.Fault(1 + w.random.IntN(int(platformtest.Garble)))
+			fault := platformtest.Fault(1 + w.random.IntN(int(w.lastFault)))
 			w.store.Fail(func(_ string, calls int) platformtest.Fault {
 				if calls%3 == 0 {
 					return fault
@@ -216,7 +225,7 @@
 	for count := 0; ctx.Err() == nil; count++ {
 		id := fmt.Sprintf("%d-%d", caller, count)
 		kind := []string{"safe", "once", "flow", "again"}[(caller+count)%4]
-		n := w.nodes[(caller+count/7)%routers]
+		n := w.nodes[(caller+count/7)%len(w.nodes)]
 		w.mu.Lock()
 		key := w.keys[count%len(w.keys)]
 		for old := range w.withdrawn {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -34,7 +34,6 @@
 	recovery   = 8 * time.Second
 	usageDue   = 8 * time.Second
 	usageSpan  = 2 * time.Second
-	routers    = 3
 	backends   = 3
 	parts      = 12
 	partPause  = 15 * time.Millisecond
@@ -82,6 +81,8 @@
 	served  int
 	faults  []string
 	killed  bool
+	// lastFault is the last of the store's faults that are drawn.
+	lastFault platformtest.Fault
 }
 
 // node is one router process.
@@ -118,13 +119,17 @@
 		runs: make(map[string][]run), requests: make(map[string]sent), withdrawn: make(map[string]time.Time),
 		left: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 	}
+	w.lastFault = platformtest.Garble
+	if seed >= lateFrom {
+		w.lastFault = platformtest.Slow
+	}
 	t.Cleanup(w.store.Close)
 	t.Cleanup(w.duties.Close)
 	w.configure()
 	for index := range backends {
 		w.addBackend(ident.Endpoint("i-" + strconv.Itoa(index)))
 	}
-	for index := range routers {
+	for index := range *routers {
 		w.nodes = append(w.nodes, w.newNode(index))
 		w.nodes[index].start(w)
 	}
