--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/placement"
 	"vanillapond/platform"
 )
 
@@ -176,3 +178,9 @@
 	is.True(left > 500 && left <= 1000) // The route's timeout is shorter than the caller's.
 	is.Equal(rig.counted("school"), 1)
 }
+
+// TestRanksAgree holds that admission tells all levels of engines apart, because one is used as the other.
+func TestRanksAgree(t *testing.T) {
+	t.Parallel()
+	is.New(t).Equal(admission.Ranks, placement.Levels)
+}
