Believe a jump of the time of day that lasts

Change: a jump that is ten minutes old counts as the setting right of a clock. Disturbances are shorter. Test: TestClocksSetRight, failing before.

--- a/internal/process/peers/timeline.go
+++ b/internal/process/peers/timeline.go
@@ -12,6 +12,9 @@
 	// minJump is the least change of the time of day against the boot clock between two looks that counts as a jump: clocks that
 	// are kept right by small steps or by slewing change by a few milliseconds between looks.
 	minJump = 100 * time.Millisecond
+	// trustJump is how long a clock must run on after a jump until the jump counts as the setting right of a clock that was
+	// wrong before: longer than disturbances last.
+	trustJump = 10 * time.Minute
 	// maxDrift bounds how far two steady clocks go apart, as a part of the time that passes; quartz clocks stay well below it.
 	maxDrift = 0.001
 )
@@ -19,9 +22,9 @@
 // timeline tells the time of day that the middle one of the entries' clocks shows.
 //
 // The time of day of VMs may jump by seconds and back, on many at once. The store's steady clock is common to all, so that the
-// entries' offsets from it can be compared. Each entry leaves the jumps that it has seen out of its own offset, so that only
-// processes that start while their clock is wrong tell a wrong one, and the middle offset is right as long as these are fewer
-// than half.
+// entries' offsets from it can be compared. Each entry leaves the jumps that it has seen lately out of its own offset, so that
+// only processes that start while their clock is wrong tell a wrong one, and the middle offset is right as long as these are
+// fewer than half.
 type timeline struct {
 	// steady is the store's steady clock less the own boot clock, by the reading that was surest.
 	steady time.Duration
@@ -37,8 +40,9 @@
 	// gap is the time of day less the boot clock at the last look; looked says that there was one.
 	gap    time.Duration
 	looked bool
-	// jumped sums up the jumps that are left out.
-	jumped time.Duration
+	// jumped sums up the jumps that are left out, of which the last was seen at jumpedAt.
+	jumped   time.Duration
+	jumpedAt clock.Reading
 }
 
 // read notes the store's clock as it was half a round trip ago, unless an earlier reading is surer.
@@ -60,8 +64,12 @@
 	gap := day - time.Duration(now)
 	if jump := gap - t.gap; t.looked && jump.Abs() > minJump && !t.rights(now, day, jump) {
 		t.jumped += jump
+		t.jumpedAt = now
 	}
 	t.gap, t.looked = gap, true
+	if now.Sub(t.jumpedAt) > trustJump {
+		t.jumped = 0
+	}
 	return day - t.jumped
 }
 
--- a/internal/process/peers/timeline_test.go
+++ b/internal/process/peers/timeline_test.go
@@ -103,6 +103,21 @@
 	is.True(late.off(second(3)).Abs() <= time.Millisecond)
 }
 
+// TestClocksSetRight holds that a jump that lasts on most VMs is believed in the end: the clocks were wrong before.
+func TestClocksSetRight(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	days := []*day{{ahead: -time.Hour}, {ahead: -time.Hour}, {ahead: -time.Hour}}
+	meet(second(1), days...)
+	for _, d := range days {
+		d.ahead = 0
+	}
+	meet(second(2), days...)
+	is.Equal(days[0].off(second(2)).Round(time.Minute), -time.Hour)
+	meet(second(900), days...)
+	is.True(days[0].off(second(900)).Abs() <= time.Millisecond)
+}
+
 // TestSlowAnswers holds that answers of the store that took long do not blur what quick ones have told.
 func TestSlowAnswers(t *testing.T) {
 	t.Parallel()
