--- a/internal/request/admission/precedence.go
+++ b/internal/request/admission/precedence.go
@@ -55,7 +55,7 @@
 }
 
 // Decide is like the function Decide, but for what ranks owe each other: a request is taken although it will be late while less
-// urgent work can be given up, and kept out while more urgent requests are crowded.
+// urgent work can be given up, and kept out while more urgent requests are crowded, but for a floor of its rank.
 func (p *Precedence) Decide(now time.Time, rank Rank, request Request) Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
