Keep out what is least urgent of all that is under way, not all that is less urgent

All 25 refused drafts of ranks that bore it were refused as "more urgent requests come first": a crowded rank 2 or 3 kept rank 4 out, although rank 5 was under way. Change: a rank is kept out only if none less urgent was taken lately; the least urgent gives way first, then the next. Test: TestLeastUrgentFirst, failing before.

--- a/internal/request/admission/precedence.go
+++ b/internal/request/admission/precedence.go
@@ -55,7 +55,8 @@
 }
 
 // Decide is like the function Decide, but for what ranks owe each other: a request is taken although it will be late while less
-// urgent work can be given up, and kept out while more urgent requests are crowded, but for a floor of its rank.
+// urgent work can be given up, and kept out while more urgent requests are crowded and none less urgent is under way, but for a
+// floor of its rank.
 func (p *Precedence) Decide(now time.Time, rank Rank, request Request) Verdict {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -67,7 +68,8 @@
 	if verdict.Crowded {
 		p.crowded[rank] = now
 	}
-	if blocked := newest(p.crowded[:rank]).Add(blockTime).Sub(now); verdict.Admit && blocked > 0 {
+	// What is least urgent of all that is under way gives way first.
+	if blocked := newest(p.crowded[:rank]).Add(blockTime).Sub(now); verdict.Admit && blocked > 0 && !request.GivesWay {
 		if counts.taken+1 > floorShare*counts.asked || counts.passed+1 > trickleShare*p.crowd(now, rank) {
 			return Verdict{Crowded: verdict.Crowded, Blocked: true, ReturnAfter: returnAfter(blocked, request.Random)}
 		}
--- a/internal/request/admission/precedence_test.go
+++ b/internal/request/admission/precedence_test.go
@@ -33,6 +33,18 @@
 	is.True(!decide(5*time.Second, 3, 900*time.Millisecond).Admit) // It has ended.
 }
 
+// TestLeastUrgentFirst holds that a rank between a crowded one and a less urgent one that is under way is not kept out.
+func TestLeastUrgentFirst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var precedence admission.Precedence
+	now := time.Unix(1_784_000_000, 0)
+	is.True(precedence.Decide(now, 5, admission.Request{Objective: time.Second}).Admit)
+	precedence.Decide(now, 2, admission.Request{Ahead: time.Minute, Objective: time.Second})
+	is.True(precedence.Decide(now, 4, admission.Request{Objective: time.Second}).Admit)
+	is.True(precedence.Decide(now, 5, admission.Request{Objective: time.Second}).Blocked)
+}
+
 // TestNoInversion draws a load of an urgent kind that is crowded all the time, beside a less urgent kind: of that one, few are taken,
 // as measured by the urgent kind, but not none.
 func TestNoInversion(t *testing.T) {
