One keeper of a value for each service, one drift bound, one reading of a caller's patience

Cause: read once more as a whole: boards, precedences and budgets were each found or made under the lock by a copy of the same function; the bound on the drift of steady clocks stood in clock and in peers; a caller's deadline was read with its default twice for a request. Change: perService serves the three, clock.MaxDrift the two, call.patience the two. Behaviour is as before; no test was changed. Run: linter; go test -race of router, forward, peers, clock and platform: passed.

--- a/internal/process/clock/remote.go
+++ b/internal/process/clock/remote.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxDrift bounds how far two steady clocks go apart, as a part of the time that passes; quartz clocks stay well below it.
-const maxDrift = 0.001
+// MaxDrift bounds how far two steady clocks go apart, as a part of the time that passes; quartz clocks stay well below it.
+const MaxDrift = 0.001
 
 // resolution is that of times that other processes show: they are told in whole milliseconds, rounded down.
 const resolution = time.Millisecond
@@ -33,7 +33,7 @@
 	defer r.mu.Unlock()
 	offset, at := time.Duration(sent)-shown-resolution, sent
 	if r.known {
-		before := r.offset - time.Duration(maxDrift*float64(now.Sub(r.at)))
+		before := r.offset - time.Duration(MaxDrift*float64(now.Sub(r.at)))
 		// Where the time would lie ahead, the other clock has begun anew, and what was known of it is void.
 		if before > offset && Reading(shown+before) <= now {
 			offset, at = before, now
--- a/internal/process/peers/timeline.go
+++ b/internal/process/peers/timeline.go
@@ -15,8 +15,6 @@
 	// trustJump is how long a clock must run on after a jump until the jump counts as the setting right of a clock that was
 	// wrong before: longer than disturbances last.
 	trustJump = 10 * time.Minute
-	// maxDrift bounds how far two steady clocks go apart, as a part of the time that passes; quartz clocks stay well below it.
-	maxDrift = 0.001
 )
 
 // timeline tells the time of day that the middle one of the entries' clocks shows.
@@ -50,7 +48,7 @@
 	if service == 0 {
 		return
 	}
-	doubt := t.doubt + time.Duration(maxDrift*float64(now.Sub(t.readAt)))
+	doubt := t.doubt + time.Duration(clock.MaxDrift*float64(now.Sub(t.readAt)))
 	if steady := service + half - time.Duration(now); !t.known || half <= doubt || (steady-t.steady).Abs() > half+doubt {
 		// A difference that neither doubt explains means that the store's clock has begun anew.
 		t.steady, t.doubt, t.readAt, t.known = steady, half, now, true
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -242,11 +242,7 @@
 	}
 	// A body that is not in when the caller gives up is of no use; later reads watch for the caller leaving.
 	control := http.NewResponseController(c.writer)
-	left, stated := platform.Deadline(c.request.Header)
-	if !stated {
-		left = defaultDeadline
-	}
-	_ = control.SetReadDeadline(c.arrived.Add(left))
+	_ = control.SetReadDeadline(c.arrived.Add(c.patience()))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var err error
 	if c.request.ContentLength > 0 {
@@ -315,12 +311,17 @@
 	return false
 }
 
+// patience returns how long the caller waits, from the arrival of the request.
+func (c *call) patience() time.Duration {
+	if left, stated := platform.Deadline(c.request.Header); stated {
+		return left
+	}
+	return defaultDeadline
+}
+
 // bound sets when the request is given up.
 func (c *call) bound() {
-	left, stated := platform.Deadline(c.request.Header)
-	if !stated {
-		left = defaultDeadline
-	}
+	left := c.patience()
 	if timeout := c.route.Timeout.Duration(); timeout > 0 {
 		left = min(left, timeout)
 	}
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -86,7 +86,7 @@
 		}
 		now := time.Now()
 		for service, work := range heard.Work {
-			g.router.board(service).Hear(now, heard.Process, work)
+			g.router.boards.of(service).Hear(now, heard.Process, work)
 		}
 		g.router.suspects.Learn(now, heard.Losses)
 		if heard.Incarnation != "" {
@@ -127,14 +127,8 @@
 
 // ownWork returns the own work by service, also of services without any, so that peers forget what has ended.
 func (r *Router) ownWork() map[ident.Pool]map[ident.Endpoint]placement.Work {
-	r.mu.Lock()
-	boards := make(map[ident.Pool]*placement.Board, len(r.boards))
-	for service, board := range r.boards {
-		boards[service] = board
-	}
-	r.mu.Unlock()
-	work := make(map[ident.Pool]map[ident.Endpoint]placement.Work, len(boards))
-	for service, board := range boards {
+	work := make(map[ident.Pool]map[ident.Endpoint]placement.Work)
+	for service, board := range r.boards.all() {
 		work[service] = board.Own()
 	}
 	return work
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -5,11 +5,9 @@
 	"context"
 	"crypto/rand"
 	"io"
-	"maps"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -76,11 +74,9 @@
 	// cancelDuties ends the loops of the duty alone.
 	cancelDuties context.CancelFunc
 	duties       sync.WaitGroup
-	mu           sync.Mutex
-	// boards, precedences and budgets are by service; guarded by mu.
-	boards      map[ident.Pool]*placement.Board
-	precedences map[ident.Pool]*admission.Precedence
-	budgets     map[ident.Pool]*repeat.Budget
+	boards       *perService[*placement.Board]
+	precedences  *perService[*admission.Precedence]
+	budgets      *perService[*repeat.Budget]
 }
 
 // memoryShare is the part of the memory limit that the heap may fill before collection becomes eager.
@@ -101,10 +97,11 @@
 	}
 	r := &Router{
 		settings: settings, build: config.Build, incarnation: incarnation, current: &routes.Current{}, suspects: forward.NewSuspectList(),
-		boards: make(map[ident.Pool]*placement.Board), budgets: make(map[ident.Pool]*repeat.Budget),
-		precedences: make(map[ident.Pool]*admission.Precedence),
+		boards:      newPerService(func() *placement.Board { return placement.New(uint64(time.Now().UnixNano())) }),
+		precedences: newPerService(func() *admission.Precedence { return &admission.Precedence{} }),
 		state:       state{regained: make(chan struct{})},
 	}
+	r.budgets = newPerService(r.newBudget)
 	r.promised.Store(&settings.Bounds)
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.dropped})
@@ -186,61 +183,24 @@
 
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
-		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.board, Precedence: r.precedence, Budget: r.budget,
+		Domain: r.settings.Domain, Current: r.current, Servers: r.servers, Board: r.boards.of, Precedence: r.precedences.of, Budget: r.budgets.of,
 		Suspects: r.suspects, Usage: r.counter, Observe: r.observe,
 		KeyAge:  func() time.Duration { return share(keyShare, r.bounds().Revoke) },
 		DenyAge: func() time.Duration { return share(unreadyShare, r.bounds().Revoke) },
 	})
 }
 
-func (r *Router) board(service ident.Pool) *placement.Board {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	board := r.boards[service]
-	if board == nil {
-		board = placement.New(uint64(time.Now().UnixNano()))
-		r.boards[service] = board
-	}
-	return board
-}
-
-func (r *Router) precedence(service ident.Pool) *admission.Precedence {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	precedence := r.precedences[service]
-	if precedence == nil {
-		precedence = &admission.Precedence{}
-		r.precedences[service] = precedence
-	}
-	return precedence
-}
-
-func (r *Router) budget(service ident.Pool) *repeat.Budget {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	budget := r.budgets[service]
-	if budget == nil {
-		bounds := r.settings.Bounds
-		budget = repeat.New(repeat.Config{
-			Ratio: repeatShare * bounds.RetryRatio, Extra: repeatShare * bounds.RetryExtra, Window: bounds.RetryWindow, Entries: r.peers.Fleet,
-		})
-		r.budgets[service] = budget
-	}
-	return budget
-}
-
-func (r *Router) allBoards() []*placement.Board {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Collect(maps.Values(r.boards))
+func (r *Router) newBudget() *repeat.Budget {
+	bounds := r.settings.Bounds
+	return repeat.New(repeat.Config{
+		Ratio: repeatShare * bounds.RetryRatio, Extra: repeatShare * bounds.RetryExtra, Window: bounds.RetryWindow, Entries: r.peers.Fleet,
+	})
 }
 
 // budgetsLeft returns how many repeats may be made now, by service.
 func (r *Router) budgetsLeft(now time.Time) map[ident.Pool]float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	left := make(map[ident.Pool]float64, len(r.budgets))
-	for service, budget := range r.budgets {
+	left := make(map[ident.Pool]float64)
+	for service, budget := range r.budgets.all() {
 		left[service] = budget.Left(now)
 	}
 	return left
--- a/internal/role/router/state.go
+++ b/internal/role/router/state.go
@@ -88,7 +88,7 @@
 
 func (r *Router) serverStates(now time.Time) []ServerState {
 	standings := make(map[ident.Endpoint]placement.Standing)
-	for _, board := range r.allBoards() {
+	for _, board := range r.boards.all() {
 		for _, standing := range board.Standings(now) {
 			standings[standing.Server] = standing
 		}
