One way to draw a call's faults in the models

Cause: the table's reads and writes and two models each drew a fault, and took it from the budget, by code of their own. Change: interleave.Chooser.Fault serves the four; the choices come in the same order.

--- a/internal/interleave/faulty.go
+++ b/internal/interleave/faulty.go
@@ -23,8 +23,7 @@
 
 // Read implements table.Table.
 func (t *Table) Read(ctx context.Context, keys ...table.Key) ([]table.Row, error) {
-	if t.Faults > 0 && t.Chooser.Pick(2) == 1 {
-		t.Faults--
+	if t.Chooser.Fault(&t.Faults, 1) > 0 {
 		return nil, table.ErrRefused
 	}
 	return t.Memory.Read(ctx, keys...)
@@ -37,16 +36,11 @@
 			return strings.HasPrefix(string(check.Key), string(t.Unchecked))
 		})
 	}
-	if t.Faults == 0 {
-		return t.Memory.Commit(ctx, transaction)
-	}
-	switch t.Chooser.Pick(3) {
+	switch t.Chooser.Fault(&t.Faults, 2) {
 	case 1:
-		t.Faults--
 		_ = t.Memory.Commit(ctx, transaction)
 		return table.ErrUnknown
 	case 2:
-		t.Faults--
 		t.Delayed = append(t.Delayed, transaction)
 		return table.ErrUnknown
 	default:
--- a/internal/interleave/interleave.go
+++ b/internal/interleave/interleave.go
@@ -52,6 +52,18 @@
 	return c.path[c.depth-1]
 }
 
+// Fault returns which of some kinds of fault a call meets, 0 for none, and takes it from those that are left.
+func (c *Chooser) Fault(left *int, kinds int) int {
+	if *left <= 0 {
+		return 0
+	}
+	fault := c.Pick(kinds + 1)
+	if fault > 0 {
+		*left--
+	}
+	return fault
+}
+
 // Replaying reports whether the run still repeats choices of an earlier one.
 func (c *Chooser) Replaying() bool { return c.depth < len(c.path) }
 
--- a/internal/process/orders/model_test.go
+++ b/internal/process/orders/model_test.go
@@ -72,13 +72,7 @@
 	if err := gate(); err != nil {
 		return table.ErrRefused
 	}
-	outcome := 0
-	if h.table.Faults > 0 {
-		outcome = h.chooser.Pick(3)
-	}
-	if outcome > 0 {
-		h.table.Faults--
-	}
+	outcome := h.chooser.Fault(&h.table.Faults, 2)
 	if outcome == 1 {
 		return table.ErrUnknown
 	}
--- a/internal/process/usage/model_test.go
+++ b/internal/process/usage/model_test.go
@@ -113,13 +113,7 @@
 // Send implements Reports.
 func (p partial) Send(ctx context.Context, _ ident.Fence, window Window, counts map[ident.Customer]int64, _ time.Duration) error {
 	p.interrupt(ctx, p.index)
-	fault := 0
-	if p.script.reportFaults > 0 {
-		fault = p.chooser.Pick(3)
-	}
-	if fault > 0 {
-		p.script.reportFaults--
-	}
+	fault := p.chooser.Fault(&p.script.reportFaults, 2)
 	if fault == 1 {
 		return table.ErrRefused
 	}
