A stream that broke off is continued by its own further events only

Change: isContinuation decides once what may follow a written head; all else counts as an interruption, which is resumed at a further server or aborted. Losses while a stream is resumed may be retried like interruptions.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -29,13 +29,16 @@
 func (c *call) relay(
 	response *direct.Response, server *servers.Server, attempt *placement.Attempt,
 ) (attemptResult, placement.Result) {
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+	if c.headWritten && !c.isContinuation(response) {
+		return interrupted, placement.Failed
+	}
+	success := isSuccess(response.Status)
 	signed := response.Header.Get(platform.HeaderSignature) != ""
 	if response.Header.Get("Content-Encoding") != "" || success && !signed {
 		c.countStart()
 		return lost, placement.Failed
 	}
-	if success && c.route.Kind == platform.Streaming {
+	if success && (c.headWritten || c.route.Kind == platform.Streaming) {
 		return c.relayStream(response, server, attempt)
 	}
 	c.countStart()
@@ -61,6 +64,18 @@
 	return c.relayUnbuffered(response, body)
 }
 
+// isContinuation reports whether a response may follow the events that the caller already has: only further events of the same kind
+// of stream may. Anything else would corrupt the stream, and its regular end would make the stream look complete.
+func (c *call) isContinuation(response *direct.Response) bool {
+	return response.Status == c.record.Status && isSuccess(response.Status) &&
+		response.Header.Get(platform.HeaderSignature) != "" && response.Header.Get("Content-Encoding") == "" &&
+		response.Header.Get("Content-Type") == c.writer.Header().Get("Content-Type")
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // relayFailure relays a server's error response, unless the request may be retried at another server.
 func (c *call) relayFailure(response *direct.Response, body []byte) (attemptResult, placement.Result) {
 	if response.Status >= http.StatusInternalServerError && c.mayRetry(failedByServer) && time.Until(c.deadline) > minRemaining &&
@@ -107,6 +122,9 @@
 		pending = append(pending, buffer[:n]...)
 		if complete := completeEvents(pending); complete > 0 {
 			if !started {
+				if !follows(firstEventID(pending[:complete]), c.lastEventID) {
+					return interrupted, placement.Failed
+				}
 				started = true
 				attempt.FirstEvent(time.Now())
 				c.countStart()
@@ -159,17 +177,44 @@
 	return end
 }
 
+// firstEventID returns the id of the first event that has one, else an empty string.
+func firstEventID(events []byte) string {
+	for line := range bytes.Lines(events) {
+		if id, found := eventID(line); found {
+			return id
+		}
+	}
+	return ""
+}
+
 // lastEventID returns the id of the last event that has one, else an empty string.
 func lastEventID(events []byte) string {
 	id := ""
 	for line := range bytes.Lines(events) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+		if found, ok := eventID(line); ok {
+			id = found
 		}
 	}
 	return id
 }
 
+// eventID returns the value of an id line.
+func eventID(line []byte) (string, bool) {
+	value, found := bytes.CutPrefix(line, []byte("id:"))
+	return string(bytes.TrimSpace(value)), found
+}
+
+// follows reports whether an event may come after the event with the id last. Ids increase within a stream; those that are not
+// numbers are not compared.
+func follows(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	return err != nil || number > lastNumber
+}
+
 // recordEvent records the time of an event, and the pause since the one before.
 func (c *call) recordEvent(now time.Time) {
 	if c.record.TimeToFirstByte == 0 {
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -103,10 +103,11 @@
 	switch result {
 	case refusedByServer:
 		return true
-	case lost, failedByServer:
-		return !c.headWritten && c.mayRunTwice()
-	case interrupted:
-		return c.route.Resumable && c.lastEventID != ""
+	case lost, failedByServer, interrupted:
+		if c.headWritten {
+			return c.route.Resumable && c.lastEventID != ""
+		}
+		return c.mayRunTwice()
 	default:
 		return false
 	}
