A suspect that waited behind a crash is not recorded as lost in it

Change: a guard that saw a crash starts nothing until the backend accepts connections again, drops kept connections at a crash, and attributes a crash only to requests that started before it.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -81,30 +81,34 @@
 
 // NotListening reports whether connections to the backend's address are refused, as after a crash of its process.
 func (b *Backend) NotListening() bool {
-	address, err := url.Parse(b.config.BaseURL)
-	if err != nil {
-		return false
-	}
 	for check := range listenChecks {
 		if check > 0 {
 			time.Sleep(listenCheckInterval)
 		}
-		if refusesConnections(address.Host) {
+		if b.RefusesConnections() {
 			return true
 		}
 	}
 	return false
 }
 
-func refusesConnections(address string) bool {
+// RefusesConnections checks once whether connections to the backend's address are refused.
+func (b *Backend) RefusesConnections() bool {
+	address, err := url.Parse(b.config.BaseURL)
+	if err != nil {
+		return false
+	}
 	dialer := net.Dialer{Timeout: listenCheckTimeout}
-	connection, err := dialer.DialContext(context.Background(), "tcp", address)
+	connection, err := dialer.DialContext(context.Background(), "tcp", address.Host)
 	if err == nil {
 		_ = connection.Close()
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// CloseIdleConnections closes the connections that carry no request.
+func (b *Backend) CloseIdleConnections() { b.idempotentClient.CloseIdleConnections() }
+
 // Run sends a request and copies the response to writer; it returns ErrNotReached or ErrInterrupted if there is no complete one.
 func (b *Backend) Run(ctx context.Context, open *link.Open, writer ResponseWriter) (link.Usage, error) {
 	var reached atomic.Bool
--- a/internal/request/guard/guard.go
+++ b/internal/request/guard/guard.go
@@ -114,11 +114,16 @@
 	}
 	var usage link.Usage
 	defer func() { job.release(usage) }()
+	crashes, up := g.checkBackend()
+	if !up {
+		g.deny(stream, link.Deny{Code: link.DenyDown, NotRun: true, Reason: "the backend has crashed and is not back yet"})
+		return
+	}
 	if deny := g.checkStart(ctx, stream); deny != nil {
 		g.deny(stream, *deny)
 		return
 	}
-	usage = g.run(ctx, stream, job)
+	usage = g.run(ctx, stream, job, crashes)
 }
 
 func (g *Guard) admit() bool {
@@ -131,8 +136,9 @@
 	return true
 }
 
-// run sends the request to the backend and returns its usage, also when the response was interrupted.
-func (g *Guard) run(ctx context.Context, stream *link.Incoming, job *job) link.Usage {
+// run sends the request to the backend and returns its usage, also when the response was interrupted. crashesBefore is the number of
+// crashes of the backend before the request started.
+func (g *Guard) run(ctx context.Context, stream *link.Incoming, job *job, crashesBefore int) link.Usage {
 	if err := stream.Accept(g.Load()); err != nil {
 		return link.Usage{}
 	}
@@ -140,7 +146,6 @@
 	usage, err := g.config.Backend.Run(ctx, stream.Open, &meteredResponse{ResponseWriter: stream, job: job})
 	switch {
 	case err == nil:
-		g.recordAlive()
 		g.record("backend_ended", stream, "")
 		g.finish(stream, usage)
 	case errors.Is(err, backend.ErrNotReached):
@@ -148,7 +153,7 @@
 	case ctx.Err() != nil:
 		g.deny(stream, link.Deny{Code: link.DenyCancelled, Reason: context.Cause(ctx).Error() + ": " + err.Error()})
 	default:
-		g.failStream(stream, err.Error())
+		g.failStream(stream, crashesBefore, err.Error())
 	}
 	return usage
 }
--- a/internal/request/guard/suspects.go
+++ b/internal/request/guard/suspects.go
@@ -12,9 +12,9 @@
 
 // crashState counts the crashes of the backend that this sidecar has seen.
 type crashState struct {
-	// count is incremented for each crash; guarded by Guard.mu.
+	// count only increases; guarded by Guard.mu.
 	count int
-	// down reports whether the backend was down when last checked; guarded by Guard.mu.
+	// down is set by a crash and cleared once the backend accepts connections again; guarded by Guard.mu.
 	down bool
 }
 
@@ -33,33 +33,63 @@
 	return false
 }
 
-// crashID identifies the crash that interrupted a request; empty if the backend is still up.
+// checkBackend returns the number of crashes seen so far, and false if the backend has not come back since the last one.
 //
-// Requests interrupted by the same crash get the same identifier.
-func (g *Guard) crashID() suspect.Loss {
-	if !g.config.Backend.NotListening() {
-		return ""
+// A request that starts while the process is gone could get one of its connections whose end is not handled yet, and would then
+// count as lost in the crash.
+func (g *Guard) checkBackend() (crashes int, up bool) {
+	g.mu.Lock()
+	crash := g.crash
+	g.mu.Unlock()
+	if !crash.down {
+		return crash.count, true
+	}
+	if g.config.Backend.RefusesConnections() {
+		return crash.count, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.crash.down {
-		g.crash.down = true
-		g.crash.count++
+	if g.crash.count == crash.count {
+		g.crash.down = false
+	}
+	return crash.count, true
+}
+
+// crashID identifies the crash that interrupted a request which started after the given number of crashes; empty if the backend is
+// still up.
+//
+// Requests interrupted by the same crash get the same identifier.
+func (g *Guard) crashID(crashesBefore int) suspect.Loss {
+	if !g.hasCrashedSince(crashesBefore) {
+		if !g.config.Backend.NotListening() {
+			return ""
+		}
+		g.recordCrash(crashesBefore)
 	}
-	return suspect.Loss(fmt.Sprintf("%s/%s/%d", g.config.Endpoint, g.config.Incarnation, g.crash.count))
+	return suspect.Loss(fmt.Sprintf("%s/%s/%d", g.config.Endpoint, g.config.Incarnation, crashesBefore+1))
 }
 
-// recordAlive records that the backend has responded, so that its next loss counts as a new crash.
-func (g *Guard) recordAlive() {
+func (g *Guard) hasCrashedSince(crashesBefore int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crash.down = false
+	return g.crash.count > crashesBefore
+}
+
+// recordCrash records a crash, unless another request that it interrupted has done so.
+func (g *Guard) recordCrash(crashesBefore int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.crash.count > crashesBefore {
+		return
+	}
+	g.crash = crashState{count: crashesBefore + 1, down: true}
+	g.config.Backend.CloseIdleConnections()
 }
 
 // failStream denies a stream whose response was interrupted. If the backend crashed, it reports the request as a suspect to
 // all entries.
-func (g *Guard) failStream(stream *link.Incoming, reason string) {
-	crash := g.crashID()
+func (g *Guard) failStream(stream *link.Incoming, crashesBefore int, reason string) {
+	crash := g.crashID(crashesBefore)
 	if crash == "" {
 		g.deny(stream, link.Deny{Code: link.DenyFailed, Reason: reason})
 		return
