Servers' announcements: leaving, and pauses asked for with a refusal

Change: connection/servers keeps, for each incarnation, what it has said in its responses: one that leaves gets no new request, whatever its registration says, until it restarts; one that refused with a pause gets none until the pause is over. Peers learn of leaving servers by gossip. The decision is checked again once a connection is open (direct.Request.Confirm). Where all servers asked for a pause, callers return after the first one has ended, spread in time. Log lines, a counter, bounds on malformed pauses.

--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -38,6 +38,8 @@
 var (
 	// ErrNoConnection is returned if the connections in use have reached the configured maximum.
 	ErrNoConnection = errors.New("all connections to the server are in use")
+	// ErrNotConfirmed is returned if Request.Confirm returned false.
+	ErrNotConfirmed = errors.New("request was withdrawn before it was sent")
 	// ErrMalformed is returned if the server sent something other than an HTTP response to the request.
 	ErrMalformed = errors.New("server sent no valid HTTP response to the request")
 )
@@ -55,6 +57,9 @@
 	IDHeader string
 	// RefusalHeaders are headers that mark a response which may lack the ID, because the server did not run the request.
 	RefusalHeaders []string
+	// Confirm is called when a connection is available, which may take a while, and before anything is sent; the request is given up
+	// if it returns false. nil means that the request is always sent.
+	Confirm func() bool
 	// AtMostOnce means that the request must not run twice. It gets a new connection or one that was idle for at most
 	// atMostOnceIdleTimeout.
 	AtMostOnce bool
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -345,3 +347,20 @@
 		is.NoErr(server.Close())
 	}
 }
+
+// TestRequestNotConfirmed checks that nothing is sent if the request is withdrawn while the connection is being opened.
+func TestRequestNotConfirmed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var received atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	t.Cleanup(server.Close)
+	pool := direct.New(direct.Config{Address: server.Listener.Addr().String(), DialTimeout: time.Second})
+	_, err := pool.Send(t.Context(), &direct.Request{Method: http.MethodGet, Target: "/", Confirm: func() bool { return false }})
+	var failure *direct.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Outcome, outcome.NotRun)
+	is.True(!failure.Unreachable)
+	is.True(errors.Is(err, direct.ErrNotConfirmed))
+	is.Equal(received.Load(), int64(0))
+}
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -78,6 +78,10 @@
 			ConnectionFailed: ctx.Err() == nil,
 		}
 	}
+	if request.Confirm != nil && !request.Confirm() {
+		p.discard(c)
+		return nil, &Error{Outcome: outcome.NotRun, Cause: ErrNotConfirmed}
+	}
 	response := &Response{pool: p, conn: c, written: make(chan struct{})}
 	_ = c.SetDeadline(time.Time{})
 	response.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -34,6 +34,8 @@
 	// MinOutage is the shortest time without an answered call to the store in which registrations of running servers can
 	// expire.
 	MinOutage time.Duration
+	// OnEvent receives the changes that follow from the servers' responses; nil means that they are ignored.
+	OnEvent func(Event)
 	// Now returns the current time; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -44,8 +46,13 @@
 	mu     sync.RWMutex
 	// servers holds all servers with a readable registration, including draining ones; guarded by mu.
 	servers map[ident.Endpoint]*Server
+	// announcements holds what servers have said about themselves in their responses; guarded by mu.
+	announcements map[ident.Endpoint]*announcement
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
 	ready map[ident.Pool][]*Server
+	// resumeAt is when the first paused server accepts requests again, so that ready must be rebuilt; 0 if none is paused.
+	// Guarded by mu.
+	resumeAt clock.Reading
 	// generation is incremented whenever ready changes; guarded by mu.
 	generation uint64
 	// listed reports whether a complete list of registrations has been received; guarded by mu.
@@ -59,14 +66,28 @@
 	if config.Now == nil {
 		config.Now = clock.Boot
 	}
-	return &Registry{config: config, servers: make(map[ident.Endpoint]*Server), ready: make(map[ident.Pool][]*Server)}
+	if config.OnEvent == nil {
+		config.OnEvent = func(Event) {}
+	}
+	return &Registry{
+		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
+		ready: make(map[ident.Pool][]*Server),
+	}
 }
 
 // Ready returns the servers of a service that accept new requests, and a generation number that changes with them; the
 // caller must not modify the list.
 func (r *Registry) Ready(service ident.Pool) (list []*Server, generation uint64) {
 	r.mu.RLock()
-	defer r.mu.RUnlock()
+	list, generation = r.ready[service], r.generation
+	resume := r.resumeAt != 0 && r.config.Now() >= r.resumeAt
+	r.mu.RUnlock()
+	if !resume {
+		return list, generation
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rebuildReady()
 	return r.ready[service], r.generation
 }
 
@@ -75,7 +96,7 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	current := r.servers[server.ID]
-	return current == server && current.State == platform.ServerReady
+	return current == server && current.State == platform.ServerReady && !r.paused(server.ID, r.config.Now())
 }
 
 // Missing reports whether the server is used although its registration is absent.
@@ -115,9 +136,12 @@
 
 // Event is a change of the registry's state.
 type Event struct {
-	// Name is joined, changed, leaving, missing, returned or gone.
+	// Name is joined, changed, leaving, missing, returned, gone, announced_leaving or paused. After announced_leaving and paused
+	// only the id and the start of a server that is no longer registered are known.
 	Name   string
 	Server platform.Server
+	// Pause is for how long a paused server wants no requests.
+	Pause time.Duration
 }
 
 // Update applies changed and removed registrations; complete means that registrations holds all that exist.
@@ -147,6 +171,7 @@
 
 // register applies one registration; the caller holds mu.
 func (r *Registry) register(events []Event, registration platform.Server) []Event {
+	registration = r.withAnnouncement(registration)
 	old := r.servers[registration.ID]
 	if old == nil {
 		r.servers[registration.ID] = &Server{Server: registration, Pool: r.config.NewPool(registration)}
@@ -208,6 +233,7 @@
 		}
 		server.Pool.Trim(wall)
 	}
+	r.sweepAnnouncements()
 	if len(events) > 0 {
 		r.rebuildReady()
 	}
@@ -217,8 +243,16 @@
 // rebuildReady rebuilds the lists of servers that accept new requests; the caller holds mu.
 func (r *Registry) rebuildReady() {
 	ready := make(map[ident.Pool][]*Server)
+	now := r.config.Now()
+	r.resumeAt = 0
 	for _, server := range r.servers {
-		if server.State == platform.ServerReady {
+		switch {
+		case server.State != platform.ServerReady:
+		case r.paused(server.ID, now):
+			if until := r.announcements[server.ID].pausedUntil; r.resumeAt == 0 || until < r.resumeAt {
+				r.resumeAt = until
+			}
+		default:
 			ready[server.Service] = append(ready[server.Service], server)
 		}
 	}
--- /dev/null
+++ b/internal/request/forward/announce.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"vanillapond/internal/connection/direct"
+	"vanillapond/internal/connection/servers"
+	"vanillapond/platform"
+)
+
+// resumeSpread is the time, as a fraction of the remaining pause, over which the callers return that were refused because all
+// servers had asked for a pause.
+const resumeSpread = 0.25
+
+// applyAnnouncements applies what a server says about itself in a response: that it leaves, or that it wants no requests for a while.
+func (c *call) applyAnnouncements(response *direct.Response, server *servers.Server) {
+	config := c.forwarder.config
+	incarnation := server.Incarnation()
+	if platform.Leaving(response.Header) {
+		config.Servers.MarkLeaving(incarnation)
+	}
+	if response.Status != http.StatusServiceUnavailable {
+		return
+	}
+	pause, err := platform.Pause(response.Header)
+	if err != nil {
+		config.OnInvalidPause(server.ID, err)
+	}
+	if pause > 0 {
+		config.Servers.Pause(incarnation, pause)
+	}
+}
+
+// serversRetryAfter returns the Retry-After of a request that no server accepts. If servers have asked for a pause, callers return
+// after the first one has ended, spread in time so that they don't overload that server.
+func (c *call) serversRetryAfter() time.Duration {
+	remaining := c.forwarder.config.Servers.UntilResumed(c.service)
+	if ready, _ := c.forwarder.config.Servers.Ready(c.service); len(ready) > 0 || remaining <= noServerRetryAfter {
+		return noServerRetryAfter
+	}
+	return remaining + time.Duration(resumeSpread*rand.Float64()*float64(remaining)) //nolint:gosec // Only spreads load.
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -65,6 +65,8 @@
 	MaxDenyAge func() time.Duration
 	// Observe is called once at the end of each request.
 	Observe func(Record)
+	// OnInvalidPause receives the error of a server's response that asks for an invalid pause.
+	OnInvalidPause func(server ident.Endpoint, err error)
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -32,6 +32,8 @@
 	now     clock.Reading
 	started map[ident.Customer]int
 	records []forward.Record
+	// invalid counts the responses that asked for an invalid pause; guarded by mu.
+	invalid int
 	mu      sync.Mutex
 	url     string
 }
@@ -78,6 +80,14 @@
 	defer h.mu.Unlock()
 	h.records = append(h.records, record)
 }
+
+func (h *harness) recordInvalidPause(ident.Endpoint, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.invalid++
+}
+
+func (h *harness) invalidPauses() int          { h.mu.Lock(); defer h.mu.Unlock(); return h.invalid }
 func (h *harness) clockReading() clock.Reading { h.mu.Lock(); defer h.mu.Unlock(); return h.now }
 func (h *harness) advanceClock(d time.Duration) {
 	h.mu.Lock()
@@ -117,11 +127,12 @@
 	budget := retry.New(retry.Config{Ratio: 0, Extra: extra, Window: 10 * time.Second, Instances: func() int { return 0 }})
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Usage: h, Observe: h.observe, Now: h.clockReading,
-		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
-		Admission:  func(ident.Pool) *admission.Controller { return controller },
-		Budget:     func(ident.Pool) *retry.Budget { return budget },
-		MaxKeyAge:  func() time.Duration { return 4 * time.Second },
-		MaxDenyAge: func() time.Duration { return 2 * time.Second },
+		OnInvalidPause: h.recordInvalidPause,
+		Balancer:       func(ident.Pool) *placement.Balancer { return balancer },
+		Admission:      func(ident.Pool) *admission.Controller { return controller },
+		Budget:         func(ident.Pool) *retry.Budget { return budget },
+		MaxKeyAge:      func() time.Duration { return 4 * time.Second },
+		MaxDenyAge:     func() time.Duration { return 2 * time.Second },
 	})
 	front := httptest.NewServer(forwarder)
 	t.Cleanup(front.Close)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -126,7 +126,7 @@
 	case time.Until(c.deadline) < minRemaining:
 		c.refuse(c.timedOut())
 	case result == refusedByServer:
-		c.refuse(unavailable("servers are full", noServerRetryAfter))
+		c.refuse(unavailable("servers are full", c.serversRetryAfter()))
 	default:
 		c.refuse(&refusal{status: http.StatusBadGateway, reason: "server gave no whole answer"})
 	}
@@ -147,7 +147,7 @@
 		if c.mayHaveRun {
 			reason = "server gave no whole answer and no other takes work"
 		}
-		c.refuse(unavailable(reason, noServerRetryAfter))
+		c.refuse(unavailable(reason, c.serversRetryAfter()))
 		return done
 	}
 	if refused := c.checkAdmission(now, choice); refused != nil {
@@ -223,6 +223,7 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(),
+		Confirm:    func() bool { return c.forwarder.config.Servers.Accepts(server) },
 	})
 	if err != nil {
 		return c.handleSendError(err, server)
@@ -231,6 +232,7 @@
 	if response.Status == http.StatusMisdirectedRequest {
 		return undelivered, placement.Unreachable
 	}
+	c.applyAnnouncements(response, server)
 	c.serversTried++
 	if response.Header.Get(platform.HeaderNotExecuted) != "" {
 		return refusedByServer, placement.Overloaded
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
@@ -41,6 +42,8 @@
 	Incarnation  ident.Incarnation `cbor:"4,keyasint,omitempty"`
 	Usage        usage.Counts      `cbor:"5,keyasint,omitempty"`
 	UsageUntilMS int64             `cbor:"6,keyasint,omitempty"`
+	// Leaving are the servers that have announced in their responses that they are leaving.
+	Leaving []servers.Incarnation `cbor:"7,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -92,6 +95,9 @@
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
 		g.router.suspects.Merge(now, received.Losses)
+		for _, leaving := range received.Leaving {
+			g.router.servers.MarkLeaving(leaving)
+		}
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
 				usage.InstanceCounts{Counts: received.Usage, Until: time.UnixMilli(received.UsageUntilMS)})
@@ -122,7 +128,7 @@
 
 // message builds the next gossip message.
 func (r *Router) message() message {
-	outgoing := message{Process: r.settings.Process, Load: r.localLoad(), Losses: r.suspects.TakeUnshared()}
+	outgoing := message{Process: r.settings.Process, Load: r.localLoad(), Losses: r.suspects.TakeUnshared(), Leaving: r.servers.Leaving()}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
 	}
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -133,6 +133,9 @@
 		if strings.HasSuffix(request.URL.Path, "/vanish") {
 			panic(http.ErrAbortHandler)
 		}
+		if strings.HasSuffix(request.URL.Path, "/leave/"+string(id)) {
+			w.Header().Set(platform.HeaderLeaving, "1")
+		}
 		if wait, err := time.ParseDuration(request.URL.Path[strings.LastIndex(request.URL.Path, "/")+1:]); err == nil {
 			time.Sleep(wait)
 		}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// recordAnnouncement logs and counts what a server has said about itself in a response.
+func (r *Router) recordAnnouncement(event servers.Event) {
+	r.metrics.countAnnouncement(event.Name)
+	_, ready := r.servers.Counts()
+	r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
+		"pause", event.Pause, "ready", ready)
+}
+
+// recordInvalidPause logs and counts a response that asks for an invalid pause.
+func (r *Router) recordInvalidPause(server ident.Endpoint, err error) {
+	const name = "pause_invalid"
+	r.metrics.countAnnouncement(name)
+	r.journal.Log("server_"+name, "server", server, "err", err)
+}
+
 // sweep regularly removes lapsed servers and closes idle connections.
 func (r *Router) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -25,6 +25,7 @@
 	storeCalls           *prometheus.CounterVec
 	storeLatency         *prometheus.HistogramVec
 	dials                prometheus.Counter
+	announcements        *prometheus.CounterVec
 	droppedLines         *prometheus.CounterVec
 }
 
@@ -66,12 +67,16 @@
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "vanillapond_router_dials_total", Help: "New connections to servers.",
 		}),
+		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_server_announcements_total",
+			Help: "What servers said about themselves in their responses, by event of the log.",
+		}, []string{"event"}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.droppedLines)
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines)
 	m.registry.MustRegister(retryBudgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
@@ -132,6 +137,8 @@
 	descriptions <- retriesRemainingDesc
 }
 
+func (m *metrics) countAnnouncement(event string) { m.announcements.WithLabelValues(event).Inc() }
+
 func (m *metrics) countDial() { m.dials.Inc() }
 
 func (m *metrics) countDroppedLine(event string) { m.droppedLines.WithLabelValues(event).Inc() }
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -124,6 +124,7 @@
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
 		MinOutage: minOutageHeartbeats * settings.Heartbeat,
+		OnEvent:   func(event servers.Event) { r.recordAnnouncement(event) },
 	})
 	address, err := netip.ParseAddr(settings.Address)
 	if err != nil {
@@ -195,7 +196,7 @@
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get,
 		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Usage: r.counter, Observe: r.observe,
+		Suspects:  r.suspects, Usage: r.counter, Observe: r.observe, OnInvalidPause: r.recordInvalidPause,
 		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
 		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
 	})
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -87,6 +87,27 @@
 	h.stop()
 }
 
+// TestPeersLearnOfLeavingServer checks that a server's announcement that it is leaving, received by one router, keeps the other one
+// from sending it requests, too, although the store lists the server as ready.
+func TestPeersLearnOfLeavingServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRouters(t, 2)
+	h.startServer(t, "i-2")
+	eventually(t, "server announced", func() bool {
+		h.send(0, "/p/leave/i-2", "right")
+		return strings.Contains(h.logs[0].String(), "event=server_announced_leaving server=i-2")
+	})
+	eventually(t, "announcement received", func() bool {
+		return strings.Contains(h.logs[1].String(), "event=server_announced_leaving server=i-2")
+	})
+	for index := range 40 {
+		_, body := h.send(index%2, "/p/x", "right")
+		is.Equal(body, "i-1")
+	}
+	h.stop()
+}
+
 // TestKeysDuringStoreOutage checks that a router without access to the store stops accepting keys within the revocation bound,
 // keeps serving open routes, and accepts keys again when the store is back.
 func TestKeysDuringStoreOutage(t *testing.T) {
--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,6 +87,11 @@
 	killed bool
 	// lastFault is the last of the store's faults that the random choice includes.
 	lastFault platformtest.Fault
+	// faults are the faults of the backends; withBackendFaults says whether any are injected.
+	faults *backendFaults
+	// proxies holds the proxies of all servers, also of those that are gone.
+	proxies           map[ident.Endpoint]*proxy
+	withBackendFaults bool
 }
 
 // routerProcess is one router instance and the proxy between it and the store.
@@ -100,8 +106,8 @@
 	process *exec.Cmd
 	// done is closed when the process has ended.
 	done chan struct{}
-	// lastFaultAt is the time of the last fault that could affect this router instance, or of its repair; guarded by mu.
-	lastFaultAt time.Time
+	// faultTimes are the times of the faults that could affect this router instance, and of their repairs, in order; guarded by mu.
+	faultTimes []time.Time
 }
 
 // backend is one server behind a proxy.
@@ -122,6 +128,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: platformtest.NewStore(), duties: platformtest.NewDuties(), binary: binary,
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
+		faults: newBackendFaults(), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -174,6 +181,7 @@
 	e.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	b := &backend{id: id, proxy: newProxy(e.t, server.Listener.Addr().String())}
 	e.backends = append(e.backends, b)
+	e.proxies[id] = b.proxy
 	e.register(b, platform.ServerReady)
 }
 
@@ -212,6 +220,12 @@
 		e.failf("server %s received a customer's key", id)
 	}
 	e.mu.Lock()
+	router := e.requests[request].router
+	e.mu.Unlock()
+	if e.faults.refuse(id, router, w) {
+		return
+	}
+	e.mu.Lock()
 	e.executions[request] = append(e.executions[request],
 		executionRecord{id, ident.Customer(r.Header.Get(platform.HeaderCustomer)), r.URL.Path})
 	e.mu.Unlock()
@@ -223,10 +237,8 @@
 		return
 	}
 	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
-	for eventID := after + 1; eventID <= eventCount; eventID++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", eventID, request)
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(eventInterval)
+	if !e.faults.interfere(w, request, after) {
+		writeEvents(w, request, after, eventCount)
 	}
 }
 
@@ -259,7 +271,7 @@
 func (r *routerProcess) start(e *environment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastFaultAt = time.Now()
+	r.faultTimes = append(r.faultTimes, time.Now())
 	process := exec.CommandContext(context.Background(), e.binary, "router", "--settings", r.settings)
 	if log := r.log(e); log != nil {
 		process.Stdout, process.Stderr = log, log
@@ -295,7 +307,7 @@
 func (r *routerProcess) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastFaultAt = time.Now()
+	r.faultTimes = append(r.faultTimes, time.Now())
 	_ = r.process.Process.Signal(s)
 }
 
@@ -313,13 +325,20 @@
 func (r *routerProcess) hadNoRecentFault(at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return at.Sub(r.lastFaultAt) > recoveryBound
+	return at.Sub(r.faultTimes[len(r.faultTimes)-1]) > recoveryBound
+}
+
+// hadFaultBetween reports whether a fault or a repair could have affected the router instance in the interval or shortly before.
+func (r *routerProcess) hadFaultBetween(from, until time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.faultTimes, func(at time.Time) bool { return at.After(from.Add(-recoveryBound)) && at.Before(until) })
 }
 
 func (r *routerProcess) recordFault() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastFaultAt = time.Now()
+	r.faultTimes = append(r.faultTimes, time.Now())
 }
 
 // toJSON returns a value as JSON, to compare it and to show it in a failure.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,8 @@
 	// mode is guarded by mu.
 	mode  mode
 	conns map[net.Conn]struct{}
+	// changes are the times at which the mode was set, in order; guarded by mu.
+	changes []time.Time
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -60,6 +63,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.changes = append(p.changes, time.Now())
 	if m != reset {
 		return
 	}
@@ -71,6 +75,13 @@
 	}
 }
 
+// changedBetween reports whether the mode was set in the interval.
+func (p *proxy) changedBetween(from, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.changes, func(at time.Time) bool { return at.After(from) && at.Before(until) })
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,7 @@
 // a seed determines.
 //
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
-// Seeds from 10,000 on also include late and slow calls to the store. -routers 60 tests a large fleet. The environment variable
+// Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends. -routers 60 tests a large fleet. The environment variable
 // SOAK_LOGS names a folder for the processes' logs.
 package soak_test
 
@@ -49,8 +49,8 @@
 	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
 }
 
-// lateSeeds always run, so that short runs also cover late and slow calls.
-var lateSeeds = []uint64{firstLateSeed + 1, firstLateSeed + 2}
+// laterSeeds always run, so that short runs also cover late and slow calls, and faults of the backends.
+var laterSeeds = []uint64{firstLateSeed + 1, firstLateSeed + 2, firstBackendFaultSeed + 1, firstBackendFaultSeed + 2}
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
 func TestSoak(t *testing.T) {
@@ -58,7 +58,7 @@
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/vanillapond").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	allSeeds := slices.Concat(regressions, lateSeeds)
+	allSeeds := slices.Concat(regressions, laterSeeds)
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		allSeeds = append(allSeeds, seed)
 	}
@@ -90,6 +90,7 @@
 	cancel()
 	clients.Wait()
 	e.checkExecutions()
+	e.checkAnnouncements()
 	e.checkUsage()
 }
 
@@ -143,6 +144,9 @@
 	}
 	interrupted := make([]bool, len(e.routers))
 	for time.Now().Before(until) {
+		if e.withBackendFaults && e.random.IntN(2) == 0 {
+			e.injectBackendFault(repairLater)
+		}
 		index := e.random.IntN(len(e.routers))
 		router := e.routers[index]
 		switch e.random.IntN(11) {
@@ -212,6 +216,7 @@
 
 func (e *environment) heal() {
 	e.store.ClearFaults()
+	e.faults.clear()
 	for _, router := range e.routers {
 		router.store.setMode(forwardAll)
 	}
@@ -268,6 +273,7 @@
 		return 0, nil, false
 	}
 	defer func() { _ = response.Body.Close() }()
+	e.faults.recordResponse(router.index, response.Header)
 	body, err = io.ReadAll(response.Body)
 	return response.StatusCode, body, err == nil
 }
@@ -293,7 +299,8 @@
 //   - each request that is not idempotent ran at most once, and did not run if its caller got a refusal (status 429 or 503);
 //   - each execution was attributed to the customer of the request's key;
 //   - no withdrawn key was accepted after the revocation bound;
-//   - no draining server got a request after the drain timeout, except from a router with a recent fault of its own.
+//   - no draining server got a request after the drain timeout, except from a router with a recent fault of its own;
+//   - nor did a server that had announced to the router that it was leaving.
 func (e *environment) checkExecutions() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -321,6 +328,9 @@
 				e.failures = append(e.failures, fmt.Sprintf("request %s was executed with a key withdrawn %s before the request was sent",
 					id, request.sentAt.Sub(withdrawnAt)))
 			}
+			if e.sentAfterAnnouncement(execution.server, request) {
+				e.failures = append(e.failures, fmt.Sprintf("request %s reached server %s, which had announced that it was leaving", id, execution.server))
+			}
 			if drainedAt, found := e.drained[execution.server]; found && request.sentAt.Sub(drainedAt) > drainTimeout &&
 				e.routers[request.router].hadNoRecentFault(request.sentAt) {
 				e.failures = append(e.failures, fmt.Sprintf("request %s reached server %s, which started to drain %s before the request was sent",
