A store that comes back from an older copy

A follower that asked late missed changes silently, a conditional write could pass on a number given out again, two lease holders could send one fencing number, a frozen usage window could be sent with other figures, and a registration could bring back a server whose leaving was known. Fencing numbers rise over eras, and rows of an earlier era grant nothing. Usage windows that may have been frozen in an earlier era are reported only from their row or the memory of the process that froze them, else left out and logged. Servers that were draining stay so, those that had gone need a changed registration, missing ones are tolerated as after an outage. A process hears of later configuration versions from peers, an instance that starts from an older copy gets their answer at once.

--- a/internal/connection/servers/announcement.go
+++ b/internal/connection/servers/announcement.go
@@ -33,6 +33,9 @@
 	startedUnixMS int64
 	// leaving is never cleared: an incarnation that leaves does not come back.
 	leaving bool
+	// unconfirmed is set after a restore of the store if the server had gone before it, so that its registration may be an old one;
+	// the next change of the registration clears it.
+	unconfirmed bool
 	// pausedUntil is until when the server wants no requests from this process, 0 for never.
 	pausedUntil clock.Reading
 	// absentSince is when the registration was found to be absent, 0 while it is present.
@@ -65,7 +68,7 @@
 		delete(r.announcements, registration.ID)
 	default:
 		known.absentSince = 0
-		if known.leaving {
+		if known.leaving || known.unconfirmed {
 			registration.State = platform.ServerDraining
 		}
 	}
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -48,6 +48,8 @@
 	servers map[ident.Endpoint]*Server
 	// announcements holds what servers have said about themselves in their responses; guarded by mu.
 	announcements map[ident.Endpoint]*announcement
+	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
+	departed map[Incarnation]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
 	ready map[ident.Pool][]*Server
 	// resumeAt is when the first paused server accepts requests again, so that ready must be rebuilt; 0 if none is paused.
@@ -71,7 +73,8 @@
 	}
 	return &Registry{
 		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
-		ready: make(map[ident.Pool][]*Server),
+		departed: make(map[Incarnation]clock.Reading),
+		ready:    make(map[ident.Pool][]*Server),
 	}
 }
 
@@ -152,6 +155,9 @@
 	present := make(map[ident.Endpoint]bool, len(registrations))
 	for _, registration := range registrations {
 		present[registration.ID] = true
+		if known := r.announcements[registration.ID]; known != nil && !complete {
+			known.unconfirmed = false
+		}
 		events = r.register(events, registration)
 	}
 	for _, id := range removed {
@@ -214,6 +220,7 @@
 func (r *Registry) remove(events []Event, id ident.Endpoint) []Event {
 	old := r.servers[id]
 	old.Pool.Close()
+	r.departed[old.Incarnation()] = r.config.Now()
 	delete(r.servers, id)
 	return append(events, Event{Name: "gone", Server: old.Server})
 }
@@ -234,6 +241,7 @@
 		server.Pool.Trim(wall)
 	}
 	r.sweepAnnouncements()
+	r.sweepDeparted()
 	if len(events) > 0 {
 		r.rebuildReady()
 	}
--- a/internal/process/lease/machine.go
+++ b/internal/process/lease/machine.go
@@ -60,13 +60,14 @@
 
 // Observe takes both rows as read; now is when the response arrived.
 func (m *StateMachine) Observe(now clock.Reading, rows Rows) {
-	changed := rows.HolderRevision != m.rows.HolderRevision || rows.HeartbeatRevision != m.rows.HeartbeatRevision
+	changed := rows.HolderRevision != m.rows.HolderRevision || rows.HeartbeatRevision != m.rows.HeartbeatRevision || rows.Era != m.rows.Era
 	if !m.hasRows || changed {
 		m.unchangedSince = now
 	}
 	m.rows = rows
 	m.hasRows = true
-	m.owned = rows.HolderRevision != 0 && rows.Holder.Incarnation == m.Params.Incarnation && !rows.Holder.Released && !m.released
+	m.owned = rows.HolderRevision != 0 && rows.Holder.Incarnation == m.Params.Incarnation && !rows.Holder.Released && !m.released &&
+		!rows.outdated()
 	if !m.owned {
 		m.validUntil = 0
 		return
@@ -83,12 +84,13 @@
 }
 
 // Vacant reports whether the lease may be acquired: it was released or never held, or its rows were observed unchanged for its term
-// plus the drift.
+// plus the drift. Rows that may lack a later acquisition, because the table may have been restored from a copy since, show neither
+// that it was released nor that it was never held.
 func (m *StateMachine) Vacant(now clock.Reading) bool {
 	if !m.hasRows || m.owned || m.released {
 		return false
 	}
-	if m.rows.HolderRevision == 0 || m.rows.Holder.Released {
+	if m.rows.HolderRevision == 0 && m.rows.Era == 0 || m.rows.Holder.Released && !m.rows.outdated() {
 		return true
 	}
 	return now.Sub(m.unchangedSince) >= m.acquireDelay()
@@ -105,7 +107,7 @@
 func (m *StateMachine) Acquire(now clock.Reading) Attempt {
 	holder := &Holder{
 		Process: m.Params.Process, Incarnation: m.Params.Incarnation,
-		Fence: m.rows.Holder.Fence + 1, TermMS: milliseconds(m.Params.Term),
+		Fence: max(m.rows.Holder.Fence, fenceFloor(m.rows.Era)) + 1, TermMS: milliseconds(m.Params.Term),
 	}
 	return Attempt{Holder: holder, Heartbeat: m.newHeartbeat(now), Observed: m.rows, RequireUnrenewed: true}
 }
--- a/internal/process/lease/row.go
+++ b/internal/process/lease/row.go
@@ -50,8 +50,21 @@
 	// HolderRevision is 0 exactly if the lease was never acquired.
 	HolderRevision    table.Revision
 	HeartbeatRevision table.Revision
+	// Era is the table's era in which the rows were read.
+	Era table.Era
 }
 
+// fenceEraBits is the number of low bits of a fencing number that count the acquisitions of one era. At one acquisition each three
+// seconds they last for more than a year.
+const fenceEraBits = 24
+
+// fenceFloor returns a number that is below all fencing numbers of an era and not below those of earlier eras.
+func fenceFloor(era table.Era) ident.Fence { return ident.Fence(era) << fenceEraBits }
+
+// outdated reports whether the holder acquired the lease in an earlier era. A later acquisition may then have been lost, so the rows
+// grant nothing.
+func (r Rows) outdated() bool { return r.Holder.Fence <= fenceFloor(r.Era) && r.Era > 0 }
+
 // HolderKey returns the key of a lease's holder row.
 func HolderKey(name string) table.Key { return prefix + table.Key(name) + "/holder" }
 
@@ -64,7 +77,7 @@
 	if len(rows) != rowCount {
 		return Rows{}, oops.Errorf("lease: found %d rows, want %d", len(rows), rowCount)
 	}
-	decoded := Rows{HolderRevision: rows[0].Revision, HeartbeatRevision: rows[1].Revision}
+	decoded := Rows{HolderRevision: rows[0].Revision, HeartbeatRevision: rows[1].Revision, Era: rows[0].Era}
 	if decoded.HolderRevision == 0 {
 		return decoded, nil
 	}
--- a/internal/process/table/table.go
+++ b/internal/process/table/table.go
@@ -9,15 +9,34 @@
 // Key identifies a row; its parts are separated by slashes.
 type Key string
 
-// Revision is the version of a row; an absent row has revision 0.
+// Era counts how often the service came back from an older copy of its data. A later era may lack writes that were acknowledged in
+// an earlier one, and gives out their numbers again. Era 0 is that of a service which does not count eras.
+type Era int64
+
+// numberBits is the number of low bits of a revision that hold the number; the era is in the bits above.
+const numberBits = 40
+
+// Revision is the version of a row; an absent row has revision 0. It combines the service's era with the number that the service
+// gave the transaction, so that revisions of two eras are never equal and those of the later era are greater.
 type Revision int64
 
+// NewRevision returns the revision with a number that the service gave out in an era; the number must be below 1<<40.
+func NewRevision(era Era, number int64) Revision { return Revision(int64(era)<<numberBits + number) }
+
+// Era returns the era in which the revision was given out.
+func (r Revision) Era() Era { return Era(r >> numberBits) }
+
+// Number returns the number that the service gave out.
+func (r Revision) Number() int64 { return int64(r) & (1<<numberBits - 1) }
+
 // Row is a row as it was read.
 type Row struct {
 	Key   Key    `cbor:"1,keyasint" json:"key"`
 	Value []byte `cbor:"2,keyasint" json:"value"`
 	// Revision is 0 if and only if the row is absent; other revisions are never reused for the same key.
 	Revision Revision `cbor:"3,keyasint" json:"revision"`
+	// Era is the era in which the row was read, also if it is absent.
+	Era Era `cbor:"4,keyasint,omitempty" json:"era,omitempty"`
 }
 
 // Check is a precondition of a transaction: the row must have this revision.
--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -18,11 +18,31 @@
 
 // keyPrefix is the prefix of the reporter's rows: one row per frozen window with the counts to report, which never change,
 // and the row at lastReportedKey.
+//
+// The table may be restored from an earlier copy that lacks frozen rows whose counts were reported. Such a window must not be frozen
+// again with other counts, so a window that may have been frozen in an earlier era is reported only if its row or the memory of this
+// process still has its counts.
 const keyPrefix = "usage"
 
-// lastReportedKey is the key of the row with the last window known to be reported; all windows before it are reported, too.
+// lastReportedKey is the key of the row with the last window known to be reported.
 const lastReportedKey = table.Key(keyPrefix + "/sent")
 
+// lastReportedRow is the content of the row at lastReportedKey; all windows before Window are reported, or lost.
+type lastReportedRow struct {
+	Window Window `json:"window"`
+	// Era is the table's era in which the row was written. The windows before Window were handled in it or before.
+	Era table.Era `json:"era"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler. It also accepts the format of earlier versions, which is only the window.
+func (l *lastReportedRow) UnmarshalJSON(content []byte) error {
+	if err := json.Unmarshal(content, &l.Window); err == nil {
+		return nil
+	}
+	type plain lastReportedRow
+	return json.Unmarshal(content, (*plain)(l))
+}
+
 // retainedFrozenWindows is the number of windows after which a frozen row is deleted: longer than any lease holder may still
 // send its counts.
 const retainedFrozenWindows = 4 * retainedWindows
@@ -57,6 +77,9 @@
 	return !c.Ended && c.Until.Before(end) && c.Until.After(end.Add(-2*length))
 }
 
+// errLost is returned for a window whose counts were frozen in an earlier era, as far as can be known, and are lost.
+var errLost = errors.New("usage: the frozen counts of the window may have been lost in a restore of the table")
+
 // errIncomplete is returned while the reporter waits for a router instance to write its counts of a window.
 var errIncomplete = errors.New("usage: a router instance has not written its counts of the window yet")
 
@@ -88,7 +111,9 @@
 	MaxReportDelay time.Duration
 	// Now returns the agreed time.
 	Now func() time.Time
-	Log func(event string, pairs ...any)
+	// EraSince returns the agreed time at which this process first saw the table's current era; nil means the start of time.
+	EraSince func() time.Time
+	Log      func(event string, pairs ...any)
 }
 
 // Reporter freezes and sends windows while the lease is held.
@@ -98,12 +123,22 @@
 	lastReported Window
 	// fence is the fencing number under which lastReported is valid.
 	fence ident.Fence
+	// unsafeUntil is the end of the last window that may have been frozen in an earlier era; zero if no restore is possible since
+	// the last freeze.
+	unsafeUntil time.Time
+	// frozen holds the counts of the last windows that this process froze or read as frozen.
+	frozen map[Window]map[ident.Customer]int64
 	// unreported is the number of windows that were due and not sent at the last check.
 	unreported atomic.Int64
 }
 
 // NewReporter returns a reporter that has not reported any window.
-func NewReporter(config ReporterConfig) *Reporter { return &Reporter{config: config} }
+func NewReporter(config ReporterConfig) *Reporter {
+	if config.EraSince == nil {
+		config.EraSince = func() time.Time { return time.Time{} }
+	}
+	return &Reporter{config: config, frozen: make(map[Window]map[ident.Customer]int64)}
+}
 
 // UnreportedWindows returns the number of windows that are due and not reported, or 0 if this process does not hold the lease.
 func (r *Reporter) UnreportedWindows() int { return int(r.unreported.Load()) }
@@ -167,6 +202,11 @@
 	if errors.Is(err, errIncomplete) {
 		return nil
 	}
+	if errors.Is(err, errLost) {
+		r.config.Log("usage_window_unknown", "window", window, "fence", grant.Fence, "restored_before", r.unsafeUntil)
+		r.lastReported = window
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -192,19 +232,26 @@
 	if err != nil {
 		return 0, err
 	}
+	r.unsafeUntil = time.Time{}
+	if rows[0].Era > 0 {
+		r.unsafeUntil = r.config.EraSince()
+	}
 	if rows[0].Revision == 0 {
 		return oldest, nil
 	}
-	var lastReported Window
-	if err := json.Unmarshal(rows[0].Value, &lastReported); err != nil {
+	var last lastReportedRow
+	if err := json.Unmarshal(rows[0].Value, &last); err != nil {
 		r.config.Log("usage_row_unreadable", "key", lastReportedKey, "err", err)
 		return oldest, nil
 	}
-	if lastReported > due {
+	if last.Era == rows[0].Era {
+		r.unsafeUntil = time.Time{}
+	}
+	if last.Window > due {
 		// The previous holder's clock was ahead. Reporting a window again does no harm, but omitting one would.
 		return oldest, nil
 	}
-	return max(lastReported, oldest), nil
+	return max(last.Window, oldest), nil
 }
 
 // timeout returns the timeout of one call.
@@ -225,16 +272,26 @@
 		if err := json.Unmarshal(rows[0].Value, &frozen); err != nil {
 			return nil, oops.Wrapf(err, "decode %s", key)
 		}
+		r.retain(window, frozen)
 		return frozen, nil
 	}
-	counts, err := r.sum(ctx, window)
-	if err != nil {
-		return nil, err
+	counts, known := r.frozen[window]
+	if !known {
+		if !window.End(r.config.WindowLength).After(r.unsafeUntil) {
+			return nil, errLost
+		}
+		if counts, err = r.sum(ctx, window); err != nil {
+			return nil, err
+		}
 	}
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return nil, oops.Wrapf(err, "encode %s", key)
 	}
+	last, err := json.Marshal(lastReportedRow{Window: window - 1, Era: rows[0].Era})
+	if err != nil {
+		return nil, oops.Wrapf(err, "encode %s", lastReportedKey)
+	}
 	leaseCheck, err := r.config.Lease.Condition(grant)
 	if err != nil {
 		return nil, err
@@ -244,16 +301,27 @@
 		Writes: []table.Write{
 			{Key: key, Value: value},
 			{Key: frozenKey(window - retainedFrozenWindows), Delete: true},
-			{Key: lastReportedKey, Value: strconv.AppendInt(nil, int64(window-1), 10)},
+			{Key: lastReportedKey, Value: last},
 		},
 	}
 	if err := r.config.Table.Commit(ctx, transaction); err != nil {
 		// The transaction may have been applied nevertheless; the next step reads the row again.
 		return nil, oops.Wrapf(err, "freeze window %d", window)
 	}
+	r.retain(window, counts)
 	return counts, nil
 }
 
+// retain keeps the counts of a frozen window, so that they can be frozen again if the table loses them.
+func (r *Reporter) retain(window Window, counts map[ident.Customer]int64) {
+	r.frozen[window] = counts
+	for known := range r.frozen {
+		if known < window-retainedFrozenWindows {
+			delete(r.frozen, known)
+		}
+	}
+}
+
 func frozenKey(window Window) table.Key {
 	return table.Key(keyPrefix + "/" + strconv.FormatInt(int64(window), 10))
 }
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,6 +12,7 @@
 
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/peers"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
@@ -44,6 +46,10 @@
 	UsageUntilMS int64             `cbor:"6,keyasint,omitempty"`
 	// Leaving are the servers that have announced in their responses that they are leaving.
 	Leaving []servers.Incarnation `cbor:"7,keyasint,omitempty"`
+	// Version is the newest configuration version that the sender has.
+	Version ident.Version `cbor:"8,keyasint,omitempty"`
+	// Answer marks an answer to an instance that was behind; it is not answered in turn.
+	Answer bool `cbor:"9,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -76,7 +82,7 @@
 	defer stop()
 	buffer := make([]byte, maxMessageBytes)
 	for {
-		size, _, err := g.socket.ReadFromUDPAddrPort(buffer)
+		size, from, err := g.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -91,6 +97,12 @@
 			continue
 		}
 		now := time.Now()
+		if !received.Answer && received.Version < g.router.configuration.Version() {
+			g.answerNewcomer(from)
+		}
+		if before := g.router.configuration.Version(); g.router.configuration.Expect(clock.Boot(), received.Version) {
+			g.router.journal.Log("configuration_behind", "version", before, "peer", received.Process, "peer_version", received.Version)
+		}
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
@@ -105,6 +117,26 @@
 	}
 }
 
+// answerNewcomer sends a message to an instance that is behind and whose row this one has not read yet. An instance that starts
+// thereby learns at once what the others know.
+func (g *gossip) answerNewcomer(from netip.AddrPort) {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	known := slices.ContainsFunc(g.router.peers.Peers(), func(peer peers.Peer) bool { return peer.Address == from })
+	if known {
+		return
+	}
+	answer := g.router.message()
+	answer.Answer = true
+	datagram, err := cbor.Marshal(answer)
+	if err != nil || len(datagram) > maxMessageBytes {
+		g.router.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
+		return
+	}
+	if _, err := g.socket.WriteToUDPAddrPort(datagram, from); err != nil {
+		g.router.journal.Log("peer_untold", "address", from, "err", err)
+	}
+}
+
 // send reports this instance's load to all peers until the context is done.
 func (g *gossip) send(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -113,7 +145,9 @@
 		if len(peers) == 0 {
 			continue
 		}
-		datagram, err := cbor.Marshal(g.router.message())
+		update := g.router.message()
+		update.Losses = g.router.suspects.TakeUnshared()
+		datagram, err := cbor.Marshal(update)
 		if err != nil || len(datagram) > maxMessageBytes {
 			g.router.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
 			continue
@@ -126,9 +160,12 @@
 	}
 }
 
-// message builds the next gossip message.
+// message builds a gossip message without losses, which are sent only once.
 func (r *Router) message() message {
-	outgoing := message{Process: r.settings.Process, Load: r.localLoad(), Losses: r.suspects.TakeUnshared(), Leaving: r.servers.Leaving()}
+	outgoing := message{
+		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
+		Version: r.configuration.Version(),
+	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
 	}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -13,6 +13,7 @@
 
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/follow"
 	"vanillapond/internal/process/table"
 	"vanillapond/internal/process/usage"
@@ -88,6 +89,7 @@
 	return usage.NewReporter(usage.ReporterConfig{
 		Table: r.store, Lease: r.lease, ReadCounts: r.collectUsage, HeartbeatInterval: r.peers.HeartbeatInterval,
 		WindowLength: r.settings.Bounds.UsageWindow, MaxReportDelay: r.settings.Bounds.UsageLate, Now: r.peers.AgreedTime,
+		EraSince: r.storeEraSince,
 		Log: func(event string, pairs ...any) {
 			r.metrics.countUsageEvent(event)
 			r.journal.Log(event, pairs...)
@@ -282,6 +284,18 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// observeRestore records that the store came back from an older copy of its data.
+func (r *Router) observeRestore(era table.Era) {
+	r.journal.Log("store_restored", "era", era, "version", r.configuration.Version())
+	r.servers.ObserveRestore()
+}
+
+// storeEraSince returns the agreed time at which this instance first saw the store's current era.
+func (r *Router) storeEraSince() time.Time {
+	_, since := r.store.Era()
+	return r.peers.AgreedTime().Add(-clock.Boot().Sub(since))
+}
+
 // observeStoreCall records a call to the store, and logs when the store becomes unreachable and reachable again.
 func (r *Router) observeStoreCall(call string, took time.Duration, err error) {
 	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrHistoryUnavailable)
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -95,6 +95,10 @@
 			}
 			return 0
 		},
+		"store_era": func() float64 {
+			era, _ := r.store.Era()
+			return float64(era)
+		},
 		"servers_age_seconds": func() float64 { return r.serversAge().Seconds() },
 		"usage_windows_open":  func() float64 { return float64(r.reporter.UnreportedWindows()) },
 		"entries":             func() float64 { return float64(r.peers.FleetSize()) },
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -119,7 +119,7 @@
 func (r *Router) assemble(ctx context.Context, config Config) error {
 	settings := r.settings
 	r.store = platform.NewStore(platform.StoreConfig{
-		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStoreCall,
+		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStoreCall, OnRestore: r.observeRestore,
 	})
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
--- a/internal/version/routes/current.go
+++ b/internal/version/routes/current.go
@@ -20,8 +20,17 @@
 	confirmed clock.Reading
 	// revision is the greatest revision of the store that confirmed the version; guarded by mu.
 	revision table.Revision
+	// expected is the newest version that another process is known to have; guarded by mu.
+	expected ident.Version
+	// loadedAt is when the first version was confirmed, 0 before; advanced is set once a later version followed. Guarded by mu.
+	loadedAt clock.Reading
+	advanced bool
 }
 
+// trialPeriod is how long after its start a process takes the news of a later version as a sign that it started from a store that had
+// come back from an older copy of its data.
+const trialPeriod = 10 * time.Second
+
 // Table returns the newest version, or nil if none has been received.
 func (c *Current) Table() *Table { return c.table.Load() }
 
@@ -40,18 +49,41 @@
 	if configuration.Version <= c.Version() {
 		return false
 	}
+	c.advanced = c.Version() != 0
 	c.table.Store(New(configuration))
 	return true
 }
 
+// Expect records that another process has a version. As long as the own one is older, the store can't confirm it: the store may have
+// come back from an older copy. A process that has just started from such a copy does not know which keys were withdrawn since, so
+// its version counts as never confirmed.
+func (c *Current) Expect(now clock.Reading, version ident.Version) (behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.expected {
+		return false
+	}
+	c.expected = version
+	if version <= c.Version() || c.table.Load() == nil {
+		return false
+	}
+	if !c.advanced && c.loadedAt != 0 && now.Sub(c.loadedAt) < trialPeriod {
+		c.confirmed = 0
+	}
+	return true
+}
+
 // Confirm records that the store held no newer version at the given time and revision. A revision older than the last
-// one confirms nothing.
+// one confirms nothing, nor does any while another process is known to have a newer version.
 func (c *Current) Confirm(asOf clock.Reading, revision table.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table.Load() == nil || revision < c.revision {
+	if c.table.Load() == nil || revision < c.revision || c.Version() < c.expected {
 		return
 	}
+	if c.loadedAt == 0 {
+		c.loadedAt = asOf
+	}
 	c.revision = revision
 	c.confirmed = max(c.confirmed, asOf)
 }
