Soak: faults of the store no longer excuse requests in a pause

Change: only a signal to the router, or a fault on the way of the refusal itself, excuses requests in a pause.

--- a/soak/backend_faults_test.go
+++ b/soak/backend_faults_test.go
@@ -26,8 +26,6 @@
 	// and the servers have written again what it lacks.
 	maxCopyAge   = 3 * time.Second
 	rewriteDelay = 700 * time.Millisecond
-	// maxFaultDuration is the longest time from a fault to its repair.
-	maxFaultDuration = 2700 * time.Millisecond
 	// pauseDelay is the time after a refusal from which on the server wants no requests.
 	pauseDelay = 500 * time.Millisecond
 	// maxRequestsInPause is how many requests may reach a server in a pause that it asked for.
@@ -62,7 +60,7 @@
 
 // pause is a time in which a server wants no requests.
 type pause struct {
-	from, until time.Time
+	askedAt, from, until time.Time
 	// requests counts those that arrived all the same.
 	requests int
 }
@@ -179,7 +177,7 @@
 	if wanted == 0 {
 		return false
 	}
-	f.pauses[key] = append(f.pauses[key], pause{from: now.Add(pauseDelay), until: now.Add(wanted)})
+	f.pauses[key] = append(f.pauses[key], pause{askedAt: now, from: now.Add(pauseDelay), until: now.Add(wanted)})
 	w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(wanted.Seconds(), 'f', 3, 64))
 	w.Header().Set(platform.HeaderNotExecuted, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -208,14 +206,14 @@
 }
 
 // checkAnnouncements checks that no router instance sent a server more requests than allowed in a pause that the server had asked
-// for, unless the router instance or its connections to the server had a fault, by which the refusal may have been lost.
+// for, unless the router instance was stopped or paused, or the refusal may have been lost on the way.
 func (e *environment) checkAnnouncements() {
 	e.faults.mu.Lock()
 	defer e.faults.mu.Unlock()
 	for key, pauses := range e.faults.pauses {
 		for _, p := range pauses {
-			excused := e.routers[key.router].hadFaultBetween(p.from.Add(-pauseDelay), p.until) ||
-				e.proxies[key.server].changedBetween(p.from.Add(-maxFaultDuration), p.until)
+			excused := e.routers[key.router].interruptedBetween(p.askedAt, p.until) ||
+				e.proxies[key.server].faultyBetween(p.askedAt, p.from)
 			if p.requests > maxRequestsInPause && !excused {
 				e.failf("server %s got %d requests from router %d in a pause of %s", key.server, p.requests, key.router, p.until.Sub(p.from))
 			}
@@ -230,7 +228,7 @@
 	defer e.faults.mu.Unlock()
 	announcedAt, found := e.faults.announced[serverAndRouter{server, request.router}]
 	return found && request.sentAt.Sub(announcedAt) > drainTimeout &&
-		!e.routers[request.router].hadFaultBetween(announcedAt, request.sentAt)
+		!e.routers[request.router].interruptedBetween(announcedAt, request.sentAt)
 }
 
 // writeEvents writes the events of a stream after the given one.
--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -41,6 +41,8 @@
 	responseDelay    = 60 * time.Millisecond
 	callerCount      = 12
 	callerTimeoutMS  = 2500
+	// maxPause is the longest time between the signals that pause and resume a process.
+	maxPause = 2700 * time.Millisecond
 )
 
 // executionRecord is one execution of a request by a backend.
@@ -115,6 +117,8 @@
 	done chan struct{}
 	// faultTimes are the times of the faults that could affect this router instance, and of their repairs, in order; guarded by mu.
 	faultTimes []time.Time
+	// interruptions are the times of the signals to the process and of its starts, in order; guarded by mu.
+	interruptions []time.Time
 }
 
 // backend is one server behind a proxy.
@@ -309,7 +313,7 @@
 func (r *routerProcess) start(e *environment) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.faultTimes = append(r.faultTimes, time.Now())
+	r.recordInterruption()
 	process := exec.CommandContext(context.Background(), e.binary, "router", "--settings", r.settings)
 	if log := r.log(e); log != nil {
 		process.Stdout, process.Stderr = log, log
@@ -345,10 +349,16 @@
 func (r *routerProcess) signal(s syscall.Signal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.faultTimes = append(r.faultTimes, time.Now())
+	r.recordInterruption()
 	_ = r.process.Process.Signal(s)
 }
 
+// recordInterruption records a signal or a start as a fault; the caller holds mu.
+func (r *routerProcess) recordInterruption() {
+	now := time.Now()
+	r.faultTimes, r.interruptions = append(r.faultTimes, now), append(r.interruptions, now)
+}
+
 // wait waits for the end of the process and reports whether it ended within the timeout.
 func (r *routerProcess) wait(timeout time.Duration) bool {
 	select {
@@ -366,11 +376,11 @@
 	return at.Sub(r.faultTimes[len(r.faultTimes)-1]) > recoveryBound
 }
 
-// hadFaultBetween reports whether a fault or a repair could have affected the router instance in the interval or shortly before.
-func (r *routerProcess) hadFaultBetween(from, until time.Time) bool {
+// interruptedBetween reports whether the process got a signal or was started in the interval, or was paused at its beginning.
+func (r *routerProcess) interruptedBetween(from, until time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.faultTimes, func(at time.Time) bool { return at.After(from.Add(-recoveryBound)) && at.Before(until) })
+	return slices.ContainsFunc(r.interruptions, func(at time.Time) bool { return at.After(from.Add(-maxPause)) && at.Before(until) })
 }
 
 func (r *routerProcess) recordFault() {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -40,8 +39,14 @@
 	// mode is guarded by mu.
 	mode  mode
 	conns map[net.Conn]struct{}
-	// changes are the times at which the mode was set, in order; guarded by mu.
-	changes []time.Time
+	// changes are the changes of the mode, in order; guarded by mu.
+	changes []modeChange
+}
+
+// modeChange is a change of a proxy's mode.
+type modeChange struct {
+	at   time.Time
+	mode mode
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -63,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
-	p.changes = append(p.changes, time.Now())
+	p.changes = append(p.changes, modeChange{time.Now(), m})
 	if m != reset {
 		return
 	}
@@ -75,11 +80,18 @@
 	}
 }
 
-// changedBetween reports whether the mode was set in the interval.
-func (p *proxy) changedBetween(from, until time.Time) bool {
+// faultyBetween reports whether the mode was another than forwardAll at any time in the interval.
+func (p *proxy) faultyBetween(from, until time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.changes, func(at time.Time) bool { return at.After(from) && at.Before(until) })
+	faulty := false
+	for _, change := range p.changes {
+		if change.at.After(until) {
+			break
+		}
+		faulty = change.mode != forwardAll || faulty && change.at.After(from)
+	}
+	return faulty
 }
 
 func (p *proxy) currentMode() mode {
