A starting instance serves before it has listed all servers

An instance is ready once it knows two servers of each service. Updates of more than 100 servers are logged as counts.

--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -65,8 +65,13 @@
 func (r *Router) start(ctx context.Context) {
 	loops := []func(context.Context){
 		// No batch delay: pausing before the next long poll would let the known configuration grow more stale.
-		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
-		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
+		r.followTable(follow.Config{
+			Table: platform.OperatorTable, PollTimeout: configPollTimeout(r.settings.Bounds), Apply: r.applyConfiguration,
+		}),
+		r.followTable(follow.Config{
+			Table: platform.ServersTable, PollTimeout: serversPollTimeout(r.settings.Bounds), BatchDelay: serversBatchDelay,
+			Apply: r.applyServers, ApplyPage: r.applyServersPage,
+		}),
 		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send,
 	}
 	for _, loop := range loops {
@@ -76,11 +81,8 @@
 }
 
 // followTable returns a loop that follows a table of the store by long polls and applies its changes.
-func (r *Router) followTable(table string, pollTimeout, batchDelay time.Duration, apply func(follow.Update)) func(context.Context) {
-	config := follow.Config{
-		Feed: r.store, Table: table, PollTimeout: pollTimeout, BatchDelay: batchDelay, Apply: apply, OnError: r.logFeedFailure(table),
-		Recovered: r.health.storeRecovered,
-	}
+func (r *Router) followTable(config follow.Config) func(context.Context) {
+	config.Feed, config.OnError, config.Recovered = r.store, r.logFeedFailure(config.Table), r.health.storeRecovered
 	return func(ctx context.Context) { follow.Run(ctx, config) }
 }
 
@@ -162,12 +164,26 @@
 	return true
 }
 
-// applyServers applies the last change of each server's registration. A registration that cannot be decoded counts as removed.
+// applyServers applies the last change of each server's registration.
 func (r *Router) applyServers(update follow.Update) {
 	r.serversRead.Store(int64(update.CurrentAsOf))
+	registered, removed := r.decodeServers(update.Changes)
+	r.logServers(r.servers.Update(registered, removed, update.Snapshot))
+}
+
+// applyServersPage applies registrations while the others are still being read, so that a starting instance of a large fleet serves
+// before it knows all servers.
+func (r *Router) applyServersPage(rows []table.Change) {
+	registered, _ := r.decodeServers(rows)
+	r.logServers(r.servers.AddPage(registered))
+}
+
+// decodeServers returns the last registration of each server in the changes, and the servers that have none. A registration that
+// cannot be decoded counts as removed.
+func (r *Router) decodeServers(changes []table.Change) ([]platform.Server, []ident.Endpoint) {
 	registered := make(map[ident.Endpoint]platform.Server)
 	removed := make(map[ident.Endpoint]bool)
-	for _, change := range update.Changes {
+	for _, change := range changes {
 		id := ident.Endpoint(strings.TrimPrefix(string(change.Key), platform.ServersTable+"/"))
 		delete(registered, id)
 		delete(removed, id)
@@ -183,12 +199,25 @@
 		}
 		registered[id] = server
 	}
-	added, deregistered := slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
-	r.logServers(r.servers.Update(added, deregistered, update.Snapshot))
+	return slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
 }
 
+// maxServerLines is the number of servers of one update that are logged one by one.
+const maxServerLines = 100
+
+// logServers logs changes of servers; beyond maxServerLines, it logs only how many there were of each kind.
 func (r *Router) logServers(events []servers.Event) {
 	known, ready := r.servers.Counts()
+	if len(events) > maxServerLines {
+		counts := make(map[string]int)
+		for _, event := range events {
+			counts[event.Name]++
+		}
+		for name, count := range counts {
+			r.journal.Log("servers_"+name, "count", count, "known", known, "ready", ready)
+		}
+		return
+	}
 	for _, event := range events {
 		r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
 			"domain", event.Server.Domain, "state", event.Server.State, "known", known, "ready", ready)
@@ -259,7 +288,7 @@
 		return "leaving"
 	case r.configuration.Table() == nil:
 		return "no configuration yet"
-	case !r.servers.Listed():
+	case !r.servers.Listed() && !r.knowsServersOfAllServices():
 		return "no list of servers yet"
 	case r.configAge() > fraction(unreadyFraction, r.bounds().Revoke):
 		return "configuration is old"
@@ -268,6 +297,16 @@
 	}
 }
 
+// minServersOfService is the number of servers of each service with which an instance serves before it knows all of them.
+const minServersOfService = 2
+
+func (r *Router) knowsServersOfAllServices() bool {
+	return !slices.ContainsFunc(r.configuration.Table().Services(), func(service ident.Pool) bool {
+		ready, _ := r.servers.Ready(service)
+		return len(ready) < minServersOfService
+	})
+}
+
 // serveReady responds to the load balancer's readiness probe.
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	reason := r.notReadyReason()
