A second copy of a refusal is not taken for the response to the next request

Change: a connection carries no further request after a response without an id. Tests: TestSecondCopyOfRefusal failed before; TestStalledAndSlowStreams shows that a stream that drips bytes ends at its timeout.

--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -166,6 +166,34 @@
 	is.Equal(body, "right")
 }
 
+// TestSecondCopyOfRefusal checks that a refusal without an id is never taken for the response to a later request: the server sends a
+// second copy of it when the next request, which it runs, arrives on the same connection.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n"
+	first := func(conn net.Conn, requests *bufio.Reader) {
+		readRequest(requests)
+		write(conn, refusal)
+		readRequest(requests)
+		write(conn, refusal+okResponse("2", "ran"))
+	}
+	second := func(conn net.Conn, requests *bufio.Reader) {
+		if readRequest(requests) == "2" {
+			write(conn, okResponse("2", "ran"))
+		}
+	}
+	p := newPool(serve(t, first, second))
+	for _, request := range []*direct.Request{newRequest("1"), newRequest("2")} {
+		response, err := p.Send(t.Context(), request)
+		is.NoErr(err)
+		_, err = io.ReadAll(response)
+		is.NoErr(err)
+		is.Equal(response.Status == http.StatusServiceUnavailable, request.ID == "1")
+		response.Close()
+	}
+}
+
 // TestUnframedResponse checks that a response without a length is complete if its connection is closed, and fails if it is reset.
 func TestUnframedResponse(t *testing.T) {
 	t.Parallel()
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -143,6 +143,8 @@
 		}
 		if isResponseTo(httpResponse, request, r.conn.reused) {
 			r.accept(httpResponse)
+			// A late second copy of a response without an id could not be told from the response to the next request.
+			r.closeAfter = r.closeAfter || request.ID != "" && httpResponse.Header.Get(request.IDHeader) == ""
 			return nil
 		}
 		if unmatched++; unmatched > maxUnmatched || httpResponse.Close {
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -176,3 +176,52 @@
 	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
 	is.True(time.Since(start) < 1500*time.Millisecond)
 }
+
+// drip returns a handler that sends one complete event and then a byte of the next one at each interval, without ever completing it.
+func drip(interval time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		setSignature(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: ")
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, "y"); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(interval)
+		}
+	}
+}
+
+// TestStalledAndSlowStreams verifies that a stream that only drips bytes of an event ends at the route's timeout, is not complete for
+// the caller and passes on no part of an event, and that a slow but sound stream beside it is delivered whole.
+func TestStalledAndSlowStreams(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/stream/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, 10, drip(50*time.Millisecond))
+			start := time.Now()
+			_, body, err := h.send(t, path, nil)
+			is.True(err != nil)
+			is.Equal(body, "id: 1\ndata: x\n\n")
+			is.True(time.Since(start) < 2500*time.Millisecond)
+		})
+	}
+	t.Run("slow", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		h := newHarness(t, 10, func(w http.ResponseWriter, r *http.Request) {
+			setSignature(w, r)
+			for id := 1; id <= 3; id++ {
+				_, _ = io.WriteString(w, "id: "+strconv.Itoa(id)+"\ndata: x\n\n")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(400 * time.Millisecond)
+			}
+		})
+		_, body, err := h.send(t, "/stream/", nil)
+		is.NoErr(err)
+		is.Equal(eventIDs(body), "1 2 3")
+	})
+}
