Revert serving before all servers are listed

An instance that serves from a part of the list follows no changes until the list is complete, so a draining server could get requests past its bound while the store is busy. Change: readiness waits for the whole list again. Updates of many servers stay logged as counts. Result: the cause of the slow recovery at 300 machines is open; ruled out: the bytes of the instances' rows, their writes in the store's one partition.

--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -175,18 +175,6 @@
 	return events
 }
 
-// AddPage applies a part of the registrations while the list of them is being read.
-func (r *Registry) AddPage(registrations []platform.Server) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var events []Event
-	for _, registration := range registrations {
-		events = r.register(events, registration)
-	}
-	r.rebuildReady()
-	return events
-}
-
 // register applies one registration; the caller holds mu.
 func (r *Registry) register(events []Event, registration platform.Server) []Event {
 	registration = r.withAnnouncement(registration)
--- a/internal/process/follow/follow.go
+++ b/internal/process/follow/follow.go
@@ -44,9 +44,6 @@
 	BatchDelay time.Duration
 	// Apply receives the updates; it is called by one goroutine, in the order of the table's history.
 	Apply func(Update)
-	// ApplyPage receives parts of the table's rows while the table is being listed, before Apply receives all of them; nil means that
-	// only Apply is called.
-	ApplyPage func([]table.Change)
 	// OnError receives the error of each failed call; nil means that the errors are ignored.
 	OnError func(error)
 	// Recovered returns a channel that is closed when the store responds to other calls again, which ends the retry delay after a
@@ -108,7 +105,7 @@
 	if f.listed {
 		update.Batch, err = f.config.Feed.Changes(ctx, f.config.Table, f.revision, pollTimeout)
 	} else {
-		update.Batch, err = f.config.Feed.List(ctx, f.config.Table, f.config.ApplyPage)
+		update.Batch, err = f.config.Feed.List(ctx, f.config.Table)
 	}
 	f.failed = err != nil
 	if err != nil {
--- a/internal/process/follow/follow_test.go
+++ b/internal/process/follow/follow_test.go
@@ -34,9 +34,7 @@
 }
 
 // List implements table.Feed.
-func (s *scriptedFeed) List(context.Context, string, func([]table.Change)) (table.Batch, error) {
-	return s.respond(0, true)
-}
+func (s *scriptedFeed) List(context.Context, string) (table.Batch, error) { return s.respond(0, true) }
 
 // Changes implements table.Feed.
 func (s *scriptedFeed) Changes(_ context.Context, _ string, since table.Revision, wait time.Duration) (table.Batch, error) {
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -216,7 +216,7 @@
 // Read reads all rows and returns them; rows that are invalid or cannot be decoded are logged and skipped.
 func (r *Registry) Read(ctx context.Context) (map[table.Key]Row, error) {
 	start := r.config.Now()
-	batch, err := r.config.Feed.List(ctx, TableName, nil)
+	batch, err := r.config.Feed.List(ctx, TableName)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/table/feed.go
+++ b/internal/process/table/feed.go
@@ -35,9 +35,8 @@
 //
 // Every method may return ErrRefused.
 type Feed interface {
-	// List returns the present rows of a table. Unless onPage is nil, it is called for each part of the rows as soon as that is read,
-	// in an order that differs between processes.
-	List(ctx context.Context, name string, onPage func([]Change)) (Batch, error)
+	// List returns the present rows of a table.
+	List(ctx context.Context, name string) (Batch, error)
 	// Changes returns the changes since a revision. If there are none, it waits for changes for at most the given duration; an empty
 	// batch means that there were none.
 	//
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -65,13 +65,8 @@
 func (r *Router) start(ctx context.Context) {
 	loops := []func(context.Context){
 		// No batch delay: pausing before the next long poll would let the known configuration grow more stale.
-		r.followTable(follow.Config{
-			Table: platform.OperatorTable, PollTimeout: configPollTimeout(r.settings.Bounds), Apply: r.applyConfiguration,
-		}),
-		r.followTable(follow.Config{
-			Table: platform.ServersTable, PollTimeout: serversPollTimeout(r.settings.Bounds), BatchDelay: serversBatchDelay,
-			Apply: r.applyServers, ApplyPage: r.applyServersPage,
-		}),
+		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
+		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
 		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send,
 	}
 	for _, loop := range loops {
@@ -81,8 +76,11 @@
 }
 
 // followTable returns a loop that follows a table of the store by long polls and applies its changes.
-func (r *Router) followTable(config follow.Config) func(context.Context) {
-	config.Feed, config.OnError, config.Recovered = r.store, r.logFeedFailure(config.Table), r.health.storeRecovered
+func (r *Router) followTable(table string, pollTimeout, batchDelay time.Duration, apply func(follow.Update)) func(context.Context) {
+	config := follow.Config{
+		Feed: r.store, Table: table, PollTimeout: pollTimeout, BatchDelay: batchDelay, Apply: apply, OnError: r.logFeedFailure(table),
+		Recovered: r.health.storeRecovered,
+	}
 	return func(ctx context.Context) { follow.Run(ctx, config) }
 }
 
@@ -164,26 +162,12 @@
 	return true
 }
 
-// applyServers applies the last change of each server's registration.
+// applyServers applies the last change of each server's registration. A registration that cannot be decoded counts as removed.
 func (r *Router) applyServers(update follow.Update) {
 	r.serversRead.Store(int64(update.CurrentAsOf))
-	registered, removed := r.decodeServers(update.Changes)
-	r.logServers(r.servers.Update(registered, removed, update.Snapshot))
-}
-
-// applyServersPage applies registrations while the others are still being read, so that a starting instance of a large fleet serves
-// before it knows all servers.
-func (r *Router) applyServersPage(rows []table.Change) {
-	registered, _ := r.decodeServers(rows)
-	r.logServers(r.servers.AddPage(registered))
-}
-
-// decodeServers returns the last registration of each server in the changes, and the servers that have none. A registration that
-// cannot be decoded counts as removed.
-func (r *Router) decodeServers(changes []table.Change) ([]platform.Server, []ident.Endpoint) {
 	registered := make(map[ident.Endpoint]platform.Server)
 	removed := make(map[ident.Endpoint]bool)
-	for _, change := range changes {
+	for _, change := range update.Changes {
 		id := ident.Endpoint(strings.TrimPrefix(string(change.Key), platform.ServersTable+"/"))
 		delete(registered, id)
 		delete(removed, id)
@@ -199,7 +183,8 @@
 		}
 		registered[id] = server
 	}
-	return slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
+	added, deregistered := slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
+	r.logServers(r.servers.Update(added, deregistered, update.Snapshot))
 }
 
 // maxServerLines is the number of servers of one update that are logged one by one.
@@ -288,7 +273,7 @@
 		return "leaving"
 	case r.configuration.Table() == nil:
 		return "no configuration yet"
-	case !r.servers.Listed() && !r.knowsServersOfAllServices():
+	case !r.servers.Listed():
 		return "no list of servers yet"
 	case r.configAge() > fraction(unreadyFraction, r.bounds().Revoke):
 		return "configuration is old"
@@ -297,16 +282,6 @@
 	}
 }
 
-// minServersOfService is the number of servers of each service with which an instance serves before it knows all of them.
-const minServersOfService = 2
-
-func (r *Router) knowsServersOfAllServices() bool {
-	return !slices.ContainsFunc(r.configuration.Table().Services(), func(service ident.Pool) bool {
-		ready, _ := r.servers.Ready(service)
-		return len(ready) < minServersOfService
-	})
-}
-
 // serveReady responds to the load balancer's readiness probe.
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	reason := r.notReadyReason()
