A configuration that was never confirmed has no age; test ports are free for UDP, too

Cause: an instance that heard of a later version before it loaded an older one had an age counted from the start of the machine, so keys could pass on a machine that has just started. Change: Age is infinite until the first confirmation; testport asks for both protocols. Test: TestLaterVersionHeardFirst with a clock of one second failed before.

--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -50,12 +50,18 @@
 	return "", oops.Errorf("testport: all %d ports of this process have been allocated", blockSize)
 }
 
+// isFree reports whether no process uses the port for TCP or UDP.
 func isFree(address string) bool {
 	socket, err := net.Listen("tcp", address) //nolint:noctx // Listening on loopback does not block.
 	if err != nil {
 		return false
 	}
-	return socket.Close() == nil
+	defer func() { _ = socket.Close() }()
+	packets, err := net.ListenPacket("udp", address) //nolint:noctx // Listening on loopback does not block.
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
 }
 
 // acquire reserves the first block that no other process has reserved, by a file lock.
--- a/internal/version/routes/current.go
+++ b/internal/version/routes/current.go
@@ -89,13 +89,13 @@
 }
 
 // Age returns the time since the version was last known to be the newest; it is infinite if no version has been
-// received.
+// received or confirmed.
 func (c *Current) Age(now clock.Reading) time.Duration {
-	if c.table.Load() == nil {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.table.Load() == nil || c.confirmed == 0 {
 		const never = 1<<63 - 1
 		return never
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return now.Sub(c.confirmed)
 }
--- a/internal/version/routes/expect_test.go
+++ b/internal/version/routes/expect_test.go
@@ -36,7 +36,7 @@
 func TestLaterVersionHeardFirst(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	now := clock.Reading(time.Hour)
+	now := clock.Reading(time.Second) // The machine has just started, too.
 	current := &routes.Current{}
 	current.Expect(now, 4)
 	current.Advance(platform.Configuration{Version: 3})
