--- a/internal/process/usage/restore_test.go
+++ b/internal/process/usage/restore_test.go
@@ -31,14 +31,8 @@
 
 // restoreHarness returns a reporter of the table that first saw the table's era at eraSince.
 func restoreHarness(store table.Table, platform *fakePlatform, now, eraSince time.Time, fence ident.Fence) *harness {
-	h := &harness{now: now, lease: &fakeLease{fence: fence}, platform: platform}
-	h.Reporter = usage.NewReporter(usage.ReporterConfig{
-		Table: store, Lease: h.lease, Sender: platform, HeartbeatInterval: func() time.Duration { return time.Second },
-		WindowLength: windowLength, MaxReportDelay: maxReportDelay,
-		ReadCounts: func(context.Context) ([]usage.InstanceCounts, error) { return h.instances, nil },
-		Now:        func() time.Time { return h.now }, Log: func(string, ...any) {},
-		EraSince: func() time.Time { return eraSince },
-	})
+	h := newHarness(store, platform, now, fence)
+	h.eraSince = eraSince
 	return h
 }
 
--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -63,6 +63,8 @@
 	lease     *fakeLease
 	platform  *fakePlatform
 	instances []usage.InstanceCounts
+	// eraSince is when the reporter first saw the table's era.
+	eraSince time.Time
 }
 
 func newHarness(store table.Table, platform *fakePlatform, now time.Time, fence ident.Fence) *harness {
@@ -72,6 +74,7 @@
 		WindowLength: windowLength, MaxReportDelay: maxReportDelay,
 		ReadCounts: func(context.Context) ([]usage.InstanceCounts, error) { return h.instances, nil },
 		Now:        func() time.Time { return h.now }, Log: func(string, ...any) {},
+		EraSince: func() time.Time { return h.eraSince },
 	})
 	return h
 }
