Scenarios: freeze waits until the process stands still

The logs show the sidecar starting the request 1 ms after the script's freeze: a stop signal takes effect only when a thread of the process gets processor time to handle it. The request ran and was served, so nothing was told wrongly; the script's premise did not hold. Change: freeze waits until the kernel shows every thread stopped. The script's checks are unchanged.

--- a/scenario/harness_test.go
+++ b/scenario/harness_test.go
@@ -327,9 +327,36 @@
 	}
 }
 
-// freeze suspends a process with SIGSTOP: freeze NAME.
+// freeze suspends a process with SIGSTOP and waits until all of its threads stand still: freeze NAME.
+//
+// The signal stops a process only when one of its threads gets processor time to handle it. On a busy machine the other threads may
+// run a request until then.
 func freeze(ts *testscript.TestScript, _ bool, args []string) {
-	ts.Check(harnessOf(ts).process(ts, args[0]).Process.Signal(syscall.SIGSTOP))
+	process := harnessOf(ts).process(ts, args[0]).Process
+	ts.Check(process.Signal(syscall.SIGSTOP))
+	const timeout = 5 * time.Second
+	for end := time.Now().Add(timeout); !allThreadsStopped(ts, process.Pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			ts.Fatalf("freeze: process %s still runs %s after SIGSTOP", args[0], timeout)
+		}
+	}
+}
+
+// allThreadsStopped reports whether the kernel shows each thread of a process in the state T.
+func allThreadsStopped(ts *testscript.TestScript, pid int) bool {
+	paths, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/stat")
+	ts.Check(err)
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return false // The thread has ended meanwhile.
+		}
+		// The state follows the command's name, which is in parentheses and may contain any characters.
+		if _, state, _ := strings.Cut(string(content[bytes.LastIndexByte(content, ')')+1:]), " "); !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(paths) > 0
 }
 
 // thaw resumes a suspended process: thaw NAME.
