An event stream that ends inside an event is truncated on every route

Callers saw: a response with status 200 and a complete framing whose last event was cut. Cause: only relayStream checked where a stream ended, and only routes for streams use it; for all other readers the end of the connection was the end of the response. Change: direct.Response.Read, which all readers share, returns io.ErrUnexpectedEOF for a response of type text/event-stream that ends inside an event.

--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"vanillapond/internal/eventstream"
 	"vanillapond/internal/process/outcome"
 )
 
@@ -176,6 +177,9 @@
 	r.Header = httpResponse.Header
 	r.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 	r.body = httpResponse.Body
+	if eventstream.Is(r.Header) {
+		r.body = eventstream.NewReader(r.body)
+	}
 	r.closeAfter = httpResponse.Close || !r.Framed
 	r.conn.idleTimeout = idleTimeout(httpResponse.Header)
 	select {
@@ -198,7 +202,8 @@
 	return defaultIdleTimeout
 }
 
-// Read reads from the body; it returns io.EOF only at the end of a complete body and another error if the body is truncated.
+// Read reads from the body; it returns io.EOF only at the end of a complete body and another error if the body is truncated. An event
+// stream that ends inside an event is truncated, whatever its framing says.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
 	if err == io.EOF {
