A resumed stream that is closed without an event is not complete

Callers saw: a stream that lacked its last events and ended as complete. Cause: a stream that is resumed may end without further events, if the first server broke off after the last one. A response without a length or chunks whose connection closes after the head was taken for that. Change: only a response with a length or chunks may end a stream without events. Any other is an interruption: it is resumed again, or aborted.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -139,7 +139,9 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && (started || c.lastEventID != ""):
+		case errors.Is(err, io.EOF) && len(pending) == 0 && (started || c.lastEventID != "" && response.Framed):
+			// Without a length or chunks, a connection that closes before the first event looks the same as a stream without further
+			// events.
 			c.forwarder.config.Suspects.Clear(c.digest)
 			c.finish(outcomeServed, "")
 			return done, placement.Succeeded
