Events that come twice in one response interrupt the stream

Callers saw: events that they already had, in a response that ended as complete. Cause: the order of the ids was checked only where a resumed stream begins. Bytes of a second response on a connection whose response has no length are read as its body. Change: lastEventID checks the ids of all events; one that does not increase interrupts the stream before it is passed on.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -122,20 +122,19 @@
 		pending = append(pending, buffer[:n]...)
 		if complete := completeEvents(pending); complete > 0 {
 			if !started {
-				if !follows(firstEventID(pending[:complete]), c.lastEventID) {
-					return interrupted, placement.Failed
-				}
 				started = true
 				attempt.FirstEvent(time.Now())
 				c.countStart()
 			}
+			last, inOrder := lastEventID(pending[:complete], c.lastEventID)
+			if !inOrder {
+				return interruptedOrLost(c.headWritten), placement.Failed
+			}
 			c.recordEvent(time.Now())
 			c.writeHead(response, -1)
 			c.write(pending[:complete])
 			c.flush()
-			if id := lastEventID(pending[:complete]); id != "" {
-				c.lastEventID = id
-			}
+			c.lastEventID = last
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
@@ -179,25 +178,21 @@
 	return end
 }
 
-// firstEventID returns the id of the first event that has one, else an empty string.
-func firstEventID(events []byte) string {
+// lastEventID returns the id of the last event that has one, or last, the id of the event before, if none has. It reports whether
+// the ids increase, beginning with last.
+func lastEventID(events []byte, last string) (id string, inOrder bool) {
+	id = last
 	for line := range bytes.Lines(events) {
-		if id, found := eventID(line); found {
-			return id
+		found, ok := eventID(line)
+		if !ok {
+			continue
 		}
-	}
-	return ""
-}
-
-// lastEventID returns the id of the last event that has one, else an empty string.
-func lastEventID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if found, ok := eventID(line); ok {
-			id = found
+		if !follows(found, id) {
+			return id, false
 		}
+		id = found
 	}
-	return id
+	return id, true
 }
 
 // eventID returns the value of an id line.
