An error response longer than the buffer is relayed whole

Callers saw: the first 64 KiB of an error response with the length of that part. Cause: relayFailure wrote what relay had buffered, which is a part of a longer body. Change: successes and failures share relayBody, which goes on reading where the buffer ends and aborts if the server breaks off.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -55,13 +55,7 @@
 	}
 	c.forwarder.config.Suspects.Clear(c.digest)
 	c.recordFirstByte()
-	if len(body) < maxBuffered {
-		c.writeHead(response, len(body))
-		c.write(body)
-		c.finish(outcomeServed, "")
-		return done, placement.Succeeded
-	}
-	return c.relayUnbuffered(response, body)
+	return c.relayBody(response, body, outcomeServed, "")
 }
 
 // isContinuation reports whether a response may follow the events that the caller already has: only further events of the same kind
@@ -82,17 +76,22 @@
 		c.forwarder.config.Budget(c.service).Remaining(time.Now()) >= 1 {
 		return failedByServer, placement.Failed
 	}
-	c.writeHead(response, len(body))
-	c.write(body)
-	c.finish(outcomeServerFailure, "server answered with a failure")
+	result, serverResult := c.relayBody(response, body, outcomeServerFailure, "server answered with a failure")
 	if response.Status >= http.StatusInternalServerError {
-		return done, placement.Failed
+		serverResult = placement.Failed
 	}
-	return done, placement.Succeeded
+	return result, serverResult
 }
 
-// relayUnbuffered relays a response that is too long to be buffered; start is what was read so far.
-func (c *call) relayUnbuffered(response *direct.Response, start []byte) (attemptResult, placement.Result) {
+// relayBody relays a response whose body, or the first maxBuffered bytes of it, was read before; outcome and reason are those of a
+// complete response.
+func (c *call) relayBody(response *direct.Response, start []byte, outcome, reason string) (attemptResult, placement.Result) {
+	if len(start) < maxBuffered {
+		c.writeHead(response, len(start))
+		c.write(start)
+		c.finish(outcome, reason)
+		return done, placement.Succeeded
+	}
 	c.writeHead(response, -1)
 	c.write(start)
 	buffer := make([]byte, readSize)
@@ -101,7 +100,7 @@
 		c.write(buffer[:n])
 		switch {
 		case errors.Is(err, io.EOF):
-			c.finish(outcomeServed, "")
+			c.finish(outcome, reason)
 			return done, placement.Succeeded
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
