A cut response without chunks ends with a reset

Callers saw: with HTTP/1.0, a stream or a long response that was cut and ended in order. Cause: such a caller gets neither chunks nor a length, so the end of the connection is the end of the response; aborts, the end of the grace period and failed writes closed it like any other. Change: while such a response is written each end of the connection is a reset; the default is restored when the handler has returned. A failed write always resets. Left: with TLS and HTTP/1.0 the alert at the end of the grace period still marks a regular end.

--- a/internal/process/listener/abort_test.go
+++ b/internal/process/listener/abort_test.go
@@ -72,3 +72,34 @@
 		})
 	}
 }
+
+// TestUnreadResponseWithoutChunks verifies that a response of which a write timed out does not end in order for a caller that does not
+// understand chunks and reads on later.
+func TestUnreadResponseWithoutChunks(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ended := make(chan struct{})
+	address, err := testport.Address()
+	is.NoErr(err)
+	_, err = listener.Start(t.Context(), listener.Config{
+		Address: address, WriteTimeout: 50 * time.Millisecond,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(ended)
+			for {
+				if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		}),
+	})
+	is.NoErr(err)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	is.NoErr(err)
+	<-ended
+	_, err = io.ReadAll(conn)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/internal/process/listener/conn.go
+++ b/internal/process/listener/conn.go
@@ -54,6 +54,15 @@
 	phase atomic.Int32
 	// idleSince is when the connection became idle; nil while it is in use.
 	idleSince atomic.Pointer[time.Time]
+	// writeFailed is set by the first failed write and never cleared.
+	writeFailed atomic.Bool
+}
+
+func (c *deadlineConn) setLinger(seconds int) {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(seconds)
+	}
 }
 
 // Write implements net.Conn.
@@ -61,5 +70,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		c.writeFailed.Store(true)
+		c.setLinger(lingerReset)
+	}
+	return n, err
 }
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -74,6 +74,7 @@
 			TLSConfig:         config.TLS,
 			ErrorLog:          log.New(errorWriter(config.OnError), "", 0),
 			ConnState:         trackState,
+			ConnContext:       withConn,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       config.IdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -81,7 +82,7 @@
 		socket: deadlineListener{Listener: socket, timeout: config.WriteTimeout, limits: config.Limits},
 		done:   make(chan struct{}),
 	}
-	l.server.Handler = l.closeAfterResponse(recoverPanics(config.Handler, config.OnPanic))
+	l.server.Handler = resetIncomplete(l.closeAfterResponse(recoverPanics(config.Handler, config.OnPanic)))
 	go l.serve()
 	return l, nil
 }
