The sidecar takes no stream for complete that ends inside an event

Callers saw: a part of an event with the entry's error event behind it, or an end mark without its end; event streams of plain services ended as complete anywhere. Cause: copyEvents passed on what it had at the end of the connection; copyBody does not look at what it copies. Change: a part of an event at the end is not passed on and interrupts the stream; event streams of services go through eventstream.Reader.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/connection/link"
+	"vanillapond/internal/eventstream"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/configuration"
 	"vanillapond/pkg/ident"
@@ -136,16 +137,20 @@
 
 func (b *Backend) copyResponse(response *http.Response, mode responseMode, writer ResponseWriter) (link.Usage, error) {
 	usage := link.Usage{Requests: 1}
+	var body io.Reader = response.Body
+	if eventstream.Is(response.Header) {
+		body = eventstream.NewReader(body)
+	}
 	if b.config.Kind == configuration.KindService {
-		return usage, copyBody(writer, response.Body)
+		return usage, copyBody(writer, body)
 	}
 	if response.StatusCode != http.StatusOK {
-		return link.Usage{}, copyBody(writer, response.Body)
+		return link.Usage{}, copyBody(writer, body)
 	}
 	if mode.stream {
-		return copyEvents(writer, response.Body, mode.includeUsage)
+		return copyEvents(writer, body, mode.includeUsage)
 	}
-	return copyCompletion(writer, response.Body)
+	return copyCompletion(writer, body)
 }
 
 // buildRequest builds the request to the backend, which sets reached as soon as a connection is assigned to it.
--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -143,9 +143,7 @@
 
 func (c *eventCopier) finish() (link.Usage, error) {
 	if len(c.event) > 0 {
-		if err := c.flushEvent(); err != nil {
-			return c.partialUsage(), err
-		}
+		return c.partialUsage(), oops.Wrapf(ErrInterrupted, "the stream ends inside an event")
 	}
 	if !c.done {
 		return c.partialUsage(), oops.Wrapf(ErrInterrupted, "the stream has no end mark")
