A completion longer than the sidecar's limit is interrupted

Callers saw: the first 64 MiB of a completion, as a complete response. Cause: the end of the limited reader was taken for the end of the response. Change: anything but the end of the response behind the limit interrupts it.

--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -21,7 +21,7 @@
 	usageMarker = []byte(`"usage":{`)
 )
 
-// maxCompletionBytes is the maximum size of a completion that is not streamed, in bytes; the rest of a longer one is dropped.
+// maxCompletionBytes is the maximum size of a completion that is not streamed, in bytes; a longer one is interrupted.
 const maxCompletionBytes = 64 << 20
 
 // eventBufferSize is the size of the read buffer, in bytes; a longer line of an event is read in several steps.
@@ -65,6 +65,9 @@
 	if err := copyBody(w, io.TeeReader(io.LimitReader(r, maxCompletionBytes), &body)); err != nil {
 		return link.Usage{}, err
 	}
+	if _, err := io.ReadFull(r, make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return link.Usage{}, oops.Wrapf(ErrInterrupted, "the completion is longer than %d bytes", maxCompletionBytes)
+	}
 	var completion api.Completion
 	if err := json.Unmarshal(body.Bytes(), &completion); err != nil || completion.Usage == nil {
 		return fallbackUsage(0), nil //nolint:nilerr // A response in another form is passed on and billed as a request.
