Log why attempts broke, with which prompt parts, and what became of losses

Change: the line of a request with a broken attempt has the error and the ids of the prompt's shared parts; losses recorded, received and cleared are events and counted.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -107,6 +107,8 @@
 	// Duration is the time until the request ended.
 	TimeToFirstByte, Duration time.Duration
 	Objective                 time.Duration
+	// Parts are the ids of the first shared parts of the prompt, at most maxLoggedParts.
+	Parts []uint64
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
 	LongestPause, MaxPause time.Duration
 }
@@ -119,6 +121,8 @@
 	Choice   placement.Choice
 	Outcome  string
 	Duration time.Duration
+	// Cause is why the server's connection broke, nil if it did not.
+	Cause error
 }
 
 // call is the state of one request while it is handled.
@@ -144,6 +148,8 @@
 	headWritten bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
+	// breakCause is why the connection of the current attempt broke, nil if it did not.
+	breakCause error
 	// startCounted is set once the request was counted as started.
 	startCounted bool
 	// serversTried counts the servers that got the request or may have got it.
@@ -350,6 +356,7 @@
 		c.query.Prompt = prompt.Tokens
 		c.query.Output = expectedOutput(prompt)
 		c.query.Parts = hashPrefixes(prompt.Parts)
+		c.record.Parts = partIDs(prompt.Parts)
 		c.query.PriorityLevel = placement.PriorityLevel(min(max(int(c.record.Priority), 0), placement.PriorityLevels-1))
 	}
 	c.digest = requestDigest(c.request.Method, c.request.RequestURI, c.key, c.body)
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -47,7 +47,7 @@
 		if c.ctx.Err() != nil {
 			return lost, placement.Neutral
 		}
-		c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
+		c.recordLoss(server, err)
 		return lost, placement.Failed
 	}
 	if !success {
@@ -144,17 +144,17 @@
 			c.finish(outcomeServed, "")
 			return done, placement.Succeeded
 		case err != nil || len(pending) > maxEventBytes:
-			return c.interruptedStream(server)
+			return c.interruptedStream(server, err)
 		}
 	}
 }
 
 // interruptedStream returns the results of a stream that was interrupted before its regular end.
-func (c *call) interruptedStream(server *servers.Server) (attemptResult, placement.Result) {
+func (c *call) interruptedStream(server *servers.Server, cause error) (attemptResult, placement.Result) {
 	if c.ctx.Err() != nil {
 		return interruptedOrLost(c.headWritten), placement.Neutral
 	}
-	c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
+	c.recordLoss(server, cause)
 	return interruptedOrLost(c.headWritten), placement.Failed
 }
 
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -162,10 +162,11 @@
 	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	attempt := balancer.StartAttempt(now, c.query, choice)
+	c.breakCause = nil
 	result, serverResult := c.exchange(server, attempt)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
-		Choice: choice, Outcome: attemptResultNames[result], Duration: time.Since(now),
+		Choice: choice, Outcome: attemptResultNames[result], Duration: time.Since(now), Cause: c.breakCause,
 	})
 	return result
 }
@@ -262,10 +263,16 @@
 	if !failure.ConnectionFailed {
 		return lost, placement.Neutral
 	}
-	c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
+	c.recordLoss(server, failure.Cause)
 	return lost, placement.Failed
 }
 
+// recordLoss records that the connection to a server broke while the server may have run the request.
+func (c *call) recordLoss(server *servers.Server, cause error) {
+	c.breakCause = cause
+	c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
+}
+
 // serverHeader returns the header fields of the request to a server.
 func (c *call) serverHeader(server *servers.Server) http.Header {
 	header := platform.ForwardHeaders(c.request.Header)
--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -23,8 +23,20 @@
 	Server ident.Endpoint `cbor:"2,keyasint"`
 }
 
+// SuspectEvent is a change of what a SuspectList holds about a request.
+type SuspectEvent struct {
+	// Name is loss_recorded, loss_received or losses_cleared.
+	Name   string
+	Digest uint64
+	Server ident.Endpoint
+	// Servers is the number of different servers that count against the request, before they were cleared.
+	Servers int
+}
+
 // SuspectList implements Suspects in memory. Router instances exchange their losses, so that each counts those of all.
 type SuspectList struct {
+	// onEvent receives the changes; it must not block.
+	onEvent func(SuspectEvent)
 	mu      sync.Mutex
 	entries map[uint64]*suspectEntry
 	// unshared holds the losses seen by this instance and not yet reported to others; guarded by mu.
@@ -36,8 +48,13 @@
 	lastLoss time.Time
 }
 
-// NewSuspectList returns an empty list.
-func NewSuspectList() *SuspectList { return &SuspectList{entries: make(map[uint64]*suspectEntry)} }
+// NewSuspectList returns an empty list. onEvent receives its changes, and must not block; nil drops them.
+func NewSuspectList(onEvent func(SuspectEvent)) *SuspectList {
+	if onEvent == nil {
+		onEvent = func(SuspectEvent) {}
+	}
+	return &SuspectList{onEvent: onEvent, entries: make(map[uint64]*suspectEntry)}
+}
 
 // Blocked implements Suspects.
 func (s *SuspectList) Blocked(now time.Time, digest uint64) bool {
@@ -51,7 +68,7 @@
 func (s *SuspectList) RecordLoss(now time.Time, digest uint64, server ident.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(now, Loss{Digest: digest, Server: server})
+	s.add(now, Loss{Digest: digest, Server: server}, "loss_recorded")
 	s.unshared = append(s.unshared, Loss{Digest: digest, Server: server})
 }
 
@@ -60,12 +77,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, loss := range losses {
-		s.add(now, loss)
+		s.add(now, loss, "loss_received")
 	}
 }
 
-// add adds a loss; the caller holds mu.
-func (s *SuspectList) add(now time.Time, loss Loss) {
+// add adds a loss; event names the way on which it came. The caller holds mu.
+func (s *SuspectList) add(now time.Time, loss Loss, event string) {
 	entry := s.entries[loss.Digest]
 	if entry == nil {
 		s.evict(now)
@@ -79,6 +96,7 @@
 		}
 	}
 	entry.servers = append(entry.servers, loss.Server)
+	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: len(entry.servers)})
 }
 
 // evict makes room for one entry if the list is full: it removes expired entries, and others in arbitrary order while the list
@@ -98,7 +116,10 @@
 func (s *SuspectList) Clear(digest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.entries, digest)
+	if entry := s.entries[digest]; entry != nil {
+		s.onEvent(SuspectEvent{Name: "losses_cleared", Digest: digest, Servers: len(entry.servers)})
+		delete(s.entries, digest)
+	}
 }
 
 // TakeUnshared returns the losses that this instance has seen since the last call.
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +29,7 @@
 	dials                prometheus.Counter
 	announcements        *prometheus.CounterVec
 	droppedLines         *prometheus.CounterVec
+	suspectEvents        *prometheus.CounterVec
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -71,12 +74,15 @@
 			Name: "vanillapond_router_server_announcements_total",
 			Help: "What servers said about themselves in their responses, by event of the log.",
 		}, []string{"event"}),
+		suspectEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_suspect_events_total", Help: "Losses of servers that count against requests, by event of the log.",
+		}, []string{"event"}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines)
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents)
 	m.registry.MustRegister(retryBudgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
@@ -193,6 +199,7 @@
 		"pause_ms", record.LongestPause.Milliseconds(), "max_pause_ms", record.MaxPause.Milliseconds(),
 		"took_ms", record.Duration.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
+	broken := false
 	for _, attempt := range record.Attempts {
 		pairs = append(pairs,
 			"server", attempt.Choice.Server, "sent", attempt.Outcome, "sent_ms", attempt.Duration.Milliseconds(),
@@ -201,9 +208,31 @@
 			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
 			"quiet", attempt.Choice.Reserved,
 			"paced", attempt.Choice.Load.LatencySensitive, "uncached", int64(attempt.Choice.Uncached))
+		if attempt.Cause != nil {
+			broken = true
+			pairs = append(pairs, "err", attempt.Cause)
+		}
+	}
+	if broken && len(record.Parts) > 0 {
+		pairs = append(pairs, "parts", formatParts(record.Parts))
 	}
 	if record.Route == "" {
 		pairs = append(pairs, "host", record.Host, "path", record.Path)
 	}
 	r.journal.LogKind("request_"+record.Outcome, "request", pairs...)
 }
+
+// formatParts returns the ids of prompt parts in hexadecimal, separated by commas.
+func formatParts(parts []uint64) string {
+	texts := make([]string, len(parts))
+	for index, part := range parts {
+		texts[index] = strconv.FormatUint(part, 16)
+	}
+	return strings.Join(texts, ",")
+}
+
+// recordSuspect logs and counts what becomes of the losses of servers that count against a request.
+func (r *Router) recordSuspect(event forward.SuspectEvent) {
+	r.metrics.suspectEvents.WithLabelValues(event.Name).Inc()
+	r.journal.Log(event.Name, "digest", strconv.FormatUint(event.Digest, 16), "server", event.Server, "servers", event.Servers)
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -98,7 +98,7 @@
 	}
 	r := &Router{
 		settings: settings, build: config.Build, incarnation: incarnation,
-		configuration: &routes.Current{}, suspects: forward.NewSuspectList(),
+		configuration:        &routes.Current{},
 		balancers:            newPerService(func() *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
 		admissionControllers: newPerService(func() *admission.Controller { return &admission.Controller{} }),
 		health:               health{recovered: make(chan struct{})},
@@ -110,6 +110,7 @@
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
+	r.suspects = forward.NewSuspectList(r.recordSuspect)
 	if err := r.assemble(ctx, config); err != nil {
 		return nil, err
 	}
