--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -57,8 +57,15 @@
 				Name: "open", Host: host, PathPrefix: "/open/", Kind: platform.Idempotent, Timeout: 1000, Service: "plain",
 				MaxServers: 1, AuthExempt: true,
 			},
+			{
+				Name: "engine", Host: host, PathPrefix: "/engine/", Kind: platform.Streaming, Timeout: 2000, Service: "engine",
+				MaxServers: 2, Resumable: true,
+			},
+		},
+		Services: []platform.Service{
+			{Name: "plain", MaxConnections: 100},
+			{Name: "engine", MaxConnections: 100, Engine: &platform.Engine{KVCacheTokens: 200_000}},
 		},
-		Services:  []platform.Service{{Name: "plain", MaxConnections: 100}},
 		Limits:    platform.Limits{HeaderBytes: 16384, BodyBytes: 1000},
 		Customers: []platform.Customer{{Name: "school", Keys: []string{"right"}, Tier: tier(1)}},
 	}
