Quarantine prompt parts that crash servers

Callers saw: requests of all kinds that ended with 502 or were cut, for as long as requests with one prompt part went on crashing server after server. Cause: crashes were attributed to whole requests, by a digest of method, target, key and body. Requests with nothing in common but a prompt part were never recognized; each was even sent to a second server. Change: internal/process/quarantine attributes crashes to the shared parts of the prompts of the requests that a server had not completed. A part under which three servers crashed since the last completed request with it is quarantined (six, if one completed recently); crashes that it explains count against no other part. Requests with it are refused, after they were admitted too; two trials by one instance release a part that was not to blame. Instances share crashes, completions and verdicts by gossip, repeated for 3 s, and verdicts through the store, for those that start or hear no peer. A connection that broke counts only if its server refuses connections.

--- /dev/null
+++ b/internal/process/quarantine/quarantine.go
@@ -0,0 +1,349 @@
+// Package quarantine finds the prompt parts that crash the servers which begin to answer them, and refuses requests that hold one.
+//
+// Load pattern: requests that have nothing in common but one part of their prompts arrive at all router instances, and each crashes the
+// server it runs on, together with all other requests there. Those share the customer and other parts with sound requests. A part is
+// therefore suspected only by the crashes since the last request with it that completed, and a crash that a quarantined part explains
+// counts against no other part.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"vanillapond/pkg/ident"
+)
+
+// Limits of suspicions.
+const (
+	// crashLimit is the number of different servers that must crash under a part before it is quarantined.
+	crashLimit = 3
+	// completedCrashLimit replaces crashLimit for a part with which a request has completed recently.
+	completedCrashLimit = 6
+	// suspectCrashes is the number of crashes from which on each one is reported as an event: one crash concerns all requests that the
+	// server had.
+	suspectCrashes = 2
+	// crashTTL is how long a crash counts.
+	crashTTL = time.Minute
+	// quarantineTTL is how long a quarantine lasts after the last request with the part.
+	quarantineTTL = 10 * time.Minute
+	// maxTrials is the number of requests with a quarantined part that are let through to learn whether it is sound.
+	maxTrials = 2
+	// firstTrialDelay is the time from the quarantine to the first trial; each further one waits trialDelayFactor times as long.
+	firstTrialDelay  = time.Second
+	trialDelayFactor = 3
+	// maxEntries bounds the parts that are tracked.
+	maxEntries = 4096
+)
+
+// Part is the id of a prompt part.
+type Part uint64
+
+// Server identifies one start of a server.
+type Server struct {
+	ID            ident.Endpoint `cbor:"1,keyasint"`
+	StartedUnixMS int64          `cbor:"2,keyasint"`
+}
+
+// Verdict says whether a part is quarantined.
+type Verdict struct {
+	Part Part `cbor:"1,keyasint" json:"part"`
+	// Sequence orders the verdicts on one part. Of two with the same sequence, the one that quarantines holds.
+	Sequence    int64 `cbor:"2,keyasint" json:"sequence"`
+	Quarantined bool  `cbor:"3,keyasint" json:"quarantined"`
+	// Trials is the number of requests that were let through in this quarantine.
+	Trials int `cbor:"4,keyasint,omitempty" json:"trials"`
+}
+
+// Check returns an error if a field is out of range.
+func (v Verdict) Check() error {
+	if v.Sequence <= 0 || v.Trials < 0 {
+		return oops.Errorf("verdict on a prompt part: found sequence %d and %d trials, want at least 1 and 0", v.Sequence, v.Trials)
+	}
+	return nil
+}
+
+// IsNewerThan reports whether the verdict replaces another one on the same part.
+func (v Verdict) IsNewerThan(other Verdict) bool {
+	switch {
+	case v.Sequence != other.Sequence:
+		return v.Sequence > other.Sequence
+	case v.Quarantined != other.Quarantined:
+		return v.Quarantined
+	default:
+		return v.Trials > other.Trials
+	}
+}
+
+// Event is a change of what the registry holds about a part.
+type Event struct {
+	// Name is part_suspected, part_quarantined, part_trial, part_cleared or part_expired. An instance that forgets a quarantine for lack
+	// of requests reports part_expired, and changes no verdict.
+	Name string
+	Verdict
+	// Server is the server that crashed, for part_suspected.
+	Server Server
+	// Crashes is the number of servers whose crashes count against the part.
+	Crashes int
+	// FromPeer means that another instance has found the change.
+	FromPeer bool
+}
+
+// Config configures a Registry.
+type Config struct {
+	// OwnsTrials reports whether this instance makes the trials of a part. At any time, all instances agree on one; nil means that
+	// this one does.
+	OwnsTrials func(Part) bool
+	// OnEvent receives the changes, while the registry is locked; it must not block. nil drops them.
+	OnEvent func(Event)
+}
+
+// Registry holds the parts under which servers crashed. It does no I/O and reads no clock. It is safe for concurrent use.
+type Registry struct {
+	config Config
+	mu     sync.Mutex
+	// entries holds at most maxEntries parts; guarded by mu.
+	entries map[Part]*entry
+	// explained holds the servers whose crash a quarantined part explains, and when they crashed; guarded by mu.
+	explained map[Server]time.Time
+	// completed remembers the parts of completed requests; guarded by mu.
+	completed recentParts
+	// unshared is what Report sends to the other instances; guarded by mu.
+	unshared unshared
+}
+
+type entry struct {
+	// crashes holds the servers that crashed under the part; those that no longer count are kept, since peers report them repeatedly.
+	crashes map[Server]crash
+	verdict Verdict
+	// nextTrial is when the next trial may begin; only valid while the part is quarantined.
+	nextTrial time.Time
+	// lastSeen is when the last crash was recorded, or when the last request with the quarantined part arrived at any instance.
+	lastSeen time.Time
+}
+
+type crash struct {
+	at time.Time
+	// counts is cleared when a request with the part completes, or when a quarantined part explains the crash.
+	counts bool
+}
+
+// New returns a registry without entries.
+func New(config Config) *Registry {
+	if config.OwnsTrials == nil {
+		config.OwnsTrials = func(Part) bool { return true }
+	}
+	if config.OnEvent == nil {
+		config.OnEvent = func(Event) {}
+	}
+	return &Registry{config: config, entries: make(map[Part]*entry), explained: make(map[Server]time.Time)}
+}
+
+// count returns the number of crashes that count now.
+func (e *entry) count(now time.Time) int {
+	count := 0
+	for _, crash := range e.crashes {
+		if crash.counts && now.Sub(crash.at) < crashTTL {
+			count++
+		}
+	}
+	return count
+}
+
+// RecordCrash records that a server crashed while it had not completed a request with these parts, or had only just begun to answer it.
+func (r *Registry) RecordCrash(now time.Time, server Server, parts []Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unshared.addCrash(now, server, parts)
+	r.addCrash(now, server, parts, false)
+}
+
+// addCrash counts a crash against the parts, and quarantines those that reach the limit; the caller holds mu.
+func (r *Registry) addCrash(now time.Time, server Server, parts []Part, fromPeer bool) {
+	isQuarantined := func(part Part) bool { return r.entries[part] != nil && r.entries[part].verdict.Quarantined }
+	if slices.ContainsFunc(parts, isQuarantined) {
+		r.explain(now, server)
+	}
+	_, explained := r.explained[server]
+	for _, part := range parts {
+		e := r.entry(now, part)
+		if _, found := e.crashes[server]; found {
+			continue
+		}
+		e.crashes[server] = crash{at: now, counts: !explained || e.verdict.Quarantined}
+		e.lastSeen = now
+		if count := e.count(now); count >= suspectCrashes {
+			r.config.OnEvent(Event{Name: "part_suspected", Verdict: e.verdict, Server: server, Crashes: count, FromPeer: fromPeer})
+		}
+	}
+	r.quarantineWorst(now, parts)
+}
+
+// quarantineWorst quarantines those of the parts that have reached their limit, beginning with the ones under which most servers crashed:
+// their crashes count no longer against the others. The caller holds mu.
+func (r *Registry) quarantineWorst(now time.Time, parts []Part) {
+	for {
+		most := 0
+		var worst []Part
+		for _, part := range parts {
+			e := r.entries[part]
+			if e == nil || e.verdict.Quarantined || slices.Contains(worst, part) {
+				continue
+			}
+			count := e.count(now)
+			if count < r.limit(part) || count < most {
+				continue
+			}
+			if count > most {
+				most, worst = count, nil
+			}
+			worst = append(worst, part)
+		}
+		if len(worst) == 0 {
+			return
+		}
+		for _, part := range worst {
+			r.quarantine(now, part)
+		}
+		for _, part := range worst {
+			for server := range r.entries[part].crashes {
+				r.explain(now, server)
+			}
+		}
+	}
+}
+
+func (r *Registry) limit(part Part) int {
+	if r.completed.contains(part) {
+		return completedCrashLimit
+	}
+	return crashLimit
+}
+
+// quarantine begins the quarantine of a part; the caller holds mu.
+func (r *Registry) quarantine(now time.Time, part Part) {
+	e := r.entries[part]
+	e.nextTrial = now.Add(firstTrialDelay)
+	r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now), Quarantined: true}, "part_quarantined", false)
+}
+
+// explain attributes the crash of a server to the quarantined parts; the caller holds mu.
+func (r *Registry) explain(now time.Time, server Server) {
+	r.explained[server] = now
+	for _, e := range r.entries {
+		if known, found := e.crashes[server]; found && !e.verdict.Quarantined {
+			known.counts = false
+			e.crashes[server] = known
+		}
+	}
+}
+
+// RecordRun records that a request with these parts completed, which shows that none of them crashes servers.
+func (r *Registry) RecordRun(now time.Time, parts []Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range parts {
+		r.completed.add(now, part)
+		if e := r.entries[part]; e != nil && (e.verdict.Quarantined || e.count(now) > 0) {
+			r.unshared.addCompleted(now, part)
+			r.clear(now, part)
+		}
+	}
+}
+
+// clear ends the suspicion of a part, and its quarantine if there is one; the caller holds mu.
+func (r *Registry) clear(now time.Time, part Part) {
+	e := r.entries[part]
+	if e == nil {
+		return
+	}
+	e.forgive()
+	if e.verdict.Quarantined {
+		r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now)}, "part_cleared", false)
+	}
+}
+
+// forgive makes no recorded crash count any more.
+func (e *entry) forgive() {
+	for server, known := range e.crashes {
+		known.counts = false
+		e.crashes[server] = known
+	}
+}
+
+// nextSequence returns the sequence of a verdict given now. It is taken from the time of day, so that it is also greater than that of a
+// verdict which this instance has forgotten.
+func (e *entry) nextSequence(now time.Time) int64 { return max(e.verdict.Sequence+1, now.UnixMilli()) }
+
+// decide replaces the verdict on a part; the caller holds mu.
+func (r *Registry) decide(now time.Time, e *entry, verdict Verdict, name string, fromPeer bool) {
+	e.verdict = verdict
+	r.config.OnEvent(Event{Name: name, Verdict: verdict, Crashes: e.count(now), FromPeer: fromPeer})
+}
+
+// entry returns the entry of a part, and creates it if necessary; the caller holds mu.
+func (r *Registry) entry(now time.Time, part Part) *entry {
+	e := r.entries[part]
+	if e == nil {
+		r.evict(now)
+		e = &entry{crashes: make(map[Server]crash), verdict: Verdict{Part: part}, lastSeen: now}
+		r.entries[part] = e
+	}
+	return e
+}
+
+// evict makes room if all entries are in use: it removes expired ones and, if there are none, an eighth of them, those seen longest ago
+// first and quarantined ones last. The caller holds mu.
+func (r *Registry) evict(now time.Time) {
+	if len(r.entries) < maxEntries {
+		return
+	}
+	r.expire(now)
+	if len(r.entries) < maxEntries {
+		return
+	}
+	rank := func(e *entry) int {
+		if e.verdict.Quarantined {
+			return 1
+		}
+		return 0
+	}
+	oldest := slices.SortedFunc(maps.Values(r.entries), func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), a.lastSeen.Compare(b.lastSeen))
+	})
+	for _, e := range oldest[:maxEntries/8] {
+		delete(r.entries, e.verdict.Part)
+	}
+}
+
+// expire removes what no longer counts; the caller holds mu.
+func (r *Registry) expire(now time.Time) {
+	for part, e := range r.entries {
+		idle := now.Sub(e.lastSeen)
+		switch {
+		case e.verdict.Quarantined && idle > quarantineTTL:
+			r.config.OnEvent(Event{Name: "part_expired", Verdict: e.verdict, Crashes: e.count(now)})
+			delete(r.entries, part)
+		case e.verdict.Sequence > 0 && idle > quarantineTTL, e.verdict.Sequence == 0 && idle > crashTTL:
+			delete(r.entries, part)
+		}
+	}
+	for server, at := range r.explained {
+		if now.Sub(at) > crashTTL {
+			delete(r.explained, server)
+		}
+	}
+}
+
+// Sweep removes what no longer counts. It is to be called at least once per minute.
+func (r *Registry) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	r.completed.rotate(now)
+	r.unshared.trim(now)
+}
--- a/internal/request/forward/crashing_part_test.go
+++ b/internal/request/forward/crashing_part_test.go
@@ -1,12 +1,11 @@
 package forward_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,10 +14,11 @@
 
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
+	"vanillapond/platform/platformtest"
 )
 
 // crashingPart is the id of the prompt part that crashes the servers of a crashFleet.
-const crashingPart = "bad0"
+const crashingPart = 0xbad0
 
 // crashFleet is a set of servers of which each crashes when it begins to answer a request with crashingPart; another server takes its
 // place at once.
@@ -56,7 +56,7 @@
 	}
 	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashingPart) {
+		if !slices.Contains(platform.SharedParts(r.Header), crashingPart) {
 			streamEvents(1, 3, true)(w, r)
 			return
 		}
@@ -96,12 +96,14 @@
 }
 
 // send sends a request with these shared parts and a part of its own, and reports whether it was served.
-func (f *crashFleet) send(number int, shared ...string) bool {
-	prefix := strings.Join(shared, ":300,") + fmt.Sprintf(":300,%x:200", 1_000_000+number)
+func (f *crashFleet) send(number int, shared ...uint64) bool {
+	prompt := platform.Prompt{Tokens: 800, MaxOutput: 40}
+	for _, part := range append(shared, uint64(1_000_000+number)) {
+		prompt.Parts = append(prompt.Parts, platform.PromptPart{ID: part, Tokens: 200})
+	}
 	response, _, err := f.h.send(f.t, "/engine/"+strconv.Itoa(number), func(r *http.Request) {
 		r.Header.Set(platform.HeaderRequestID, strconv.Itoa(number))
-		r.Header.Set("X-Token-Counts", "800,40")
-		r.Header.Set("X-Prompt-Prefix", prefix)
+		platformtest.SetPrompt(r.Header, prompt)
 	})
 	return err == nil && response.StatusCode == http.StatusOK
 }
@@ -112,11 +114,11 @@
 	t.Parallel()
 	for _, c := range []struct {
 		name   string
-		shared []string
+		shared []uint64
 	}{
-		{name: "first", shared: []string{crashingPart, "5ca1e", "d0c1"}},
-		{name: "middle", shared: []string{"5ca1e", crashingPart, "d0c1"}},
-		{name: "last shared", shared: []string{"5ca1e", "d0c1", crashingPart}},
+		{name: "first", shared: []uint64{crashingPart, 0x5ca1e, 0xd0c1}},
+		{name: "middle", shared: []uint64{0x5ca1e, crashingPart, 0xd0c1}},
+		{name: "last shared", shared: []uint64{0x5ca1e, 0xd0c1, crashingPart}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -131,7 +133,7 @@
 					f.mu.Lock()
 					after := f.crashes >= 5
 					f.mu.Unlock()
-					ok := f.send(2*number+1, "5ca1e", "d0c"+strconv.Itoa(number%3))
+					ok := f.send(2*number+1, 0x5ca1e, uint64(0xd0c0+number%3))
 					f.mu.Lock()
 					defer f.mu.Unlock()
 					if after || number > sent/2 {
--- a/internal/request/forward/digest.go
+++ b/internal/request/forward/digest.go
@@ -38,18 +38,3 @@
 	}
 	return prefixes
 }
-
-// maxLoggedParts bounds the parts of a prompt in a Record.
-const maxLoggedParts = 8
-
-// partIDs returns the ids of the first parts but the last, which belongs to this request alone.
-func partIDs(parts []platform.PromptPart) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	ids := make([]uint64, min(len(parts)-1, maxLoggedParts))
-	for index := range ids {
-		ids[index] = parts[index].ID
-	}
-	return ids
-}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
@@ -56,7 +57,11 @@
 	// Budget returns the retry budget of a service.
 	Budget   func(ident.Pool) *retry.Budget
 	Suspects Suspects
-	Usage    UsageCounter
+	// Quarantine holds the prompt parts that crash servers.
+	Quarantine *quarantine.Registry
+	// HasCrashed reports whether a server to which a connection broke, for this cause, has crashed. It may take a second.
+	HasCrashed func(server *servers.Server, cause error) bool
+	Usage      UsageCounter
 	// MaxKeyAge returns the greatest age of the configuration at which a key that it lists is still accepted, because the key may
 	// have been withdrawn since.
 	MaxKeyAge func() time.Duration
@@ -108,7 +113,9 @@
 	TimeToFirstByte, Duration time.Duration
 	Objective                 time.Duration
 	// Parts are the ids of the first shared parts of the prompt, at most maxLoggedParts.
-	Parts []uint64
+	Parts []quarantine.Part
+	// QuarantinedPart is the part for which the request was refused, 0 if it was not.
+	QuarantinedPart quarantine.Part
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
 	LongestPause, MaxPause time.Duration
 }
@@ -143,13 +150,19 @@
 	prompt   platform.Prompt
 	query    placement.Query
 	digest   uint64
-	record   Record
+	// parts are the parts of the prompt that other requests may share.
+	parts []quarantine.Part
+	// trial is set for a request that is let through although one of its parts is quarantined.
+	trial  bool
+	record Record
 	// headWritten is set once the status line and headers of a response were written to the caller.
 	headWritten bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
 	breakCause error
+	// firstEventAt is when the first event came from the server of the current attempt, zero before.
+	firstEventAt time.Time
 	// startCounted is set once the request was counted as started.
 	startCounted bool
 	// serversTried counts the servers that got the request or may have got it.
@@ -222,7 +235,7 @@
 	if c.forwarder.config.Suspects.Blocked(c.arrived, c.digest) {
 		return unavailable("request crashed servers before", suspectRetryAfter)
 	}
-	return nil
+	return c.admitParts()
 }
 
 func (c *call) checkHeaders(limits platform.Limits) *refusal {
@@ -356,7 +369,6 @@
 		c.query.Prompt = prompt.Tokens
 		c.query.Output = expectedOutput(prompt)
 		c.query.Parts = hashPrefixes(prompt.Parts)
-		c.record.Parts = partIDs(prompt.Parts)
 		c.query.PriorityLevel = placement.PriorityLevel(min(max(int(c.record.Priority), 0), placement.PriorityLevels-1))
 	}
 	c.digest = requestDigest(c.request.Method, c.request.RequestURI, c.key, c.body)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -13,6 +13,7 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
@@ -132,8 +133,9 @@
 	h.servers.Update(registered, nil, true)
 	balancer, controller := placement.New(1), &admission.Controller{}
 	budget := retry.New(retry.Config{Ratio: 0, Extra: extra, Window: 10 * time.Second, Instances: func() int { return 0 }})
+	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
-		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Usage: h, Observe: h.observe, Now: h.clockReading,
+		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
 		OnInvalidPause: h.recordInvalidPause,
 		Balancer:       func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:      func(ident.Pool) *admission.Controller { return controller },
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -25,6 +25,9 @@
 // suspectRetryAfter is the Retry-After of a request that crashed servers: by then servers have restarted.
 const suspectRetryAfter = 5 * time.Second
 
+// reasonQuarantined is the reason of requests with a prompt part that crashes servers.
+const reasonQuarantined = "a part of the prompt crashed servers before"
+
 // refusal is an error response that the router itself returns; it ends the request.
 type refusal struct {
 	status int
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -53,7 +53,7 @@
 	if !success {
 		return c.relayFailure(response, body)
 	}
-	c.forwarder.config.Suspects.Clear(c.digest)
+	c.recordCompleted()
 	c.recordFirstByte()
 	return c.relayBody(response, body, outcomeServed, "")
 }
@@ -122,7 +122,8 @@
 		if complete := completeEvents(pending); complete > 0 {
 			if !started {
 				started = true
-				attempt.FirstEvent(time.Now())
+				c.firstEventAt = time.Now()
+				attempt.FirstEvent(c.firstEventAt)
 				c.countStart()
 			}
 			last, inOrder := lastEventID(pending[:complete], c.lastEventID)
@@ -140,7 +141,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0 && (started || c.lastEventID != "" && response.Framed):
 			// Without a length or chunks, a connection that closes before the first event looks the same as a stream without further
 			// events.
-			c.forwarder.config.Suspects.Clear(c.digest)
+			c.recordCompleted()
 			c.finish(outcomeServed, "")
 			return done, placement.Succeeded
 		case err != nil || len(pending) > maxEventBytes:
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -80,6 +80,9 @@
 	if time.Until(c.deadline) < minRemaining {
 		return c.timedOut()
 	}
+	if refused := c.recheckParts(); refused != nil {
+		return refused
+	}
 	service := c.service
 	refused := c.authorize()
 	if refused == nil && c.service != service {
@@ -104,6 +107,9 @@
 	case refusedByServer:
 		return true
 	case lost, failedByServer, interrupted:
+		if c.trial {
+			return false
+		}
 		if c.headWritten {
 			return c.route.Resumable && c.lastEventID != ""
 		}
@@ -162,7 +168,7 @@
 	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	attempt := balancer.StartAttempt(now, c.query, choice)
-	c.breakCause = nil
+	c.breakCause, c.firstEventAt = nil, time.Time{}
 	result, serverResult := c.exchange(server, attempt)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
@@ -271,6 +277,7 @@
 func (c *call) recordLoss(server *servers.Server, cause error) {
 	c.breakCause = cause
 	c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
+	c.recordCrash(server, cause)
 }
 
 // serverHeader returns the header fields of the request to a server.
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -13,6 +13,7 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/peers"
+	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
@@ -50,6 +51,8 @@
 	Version ident.Version `cbor:"8,keyasint,omitempty"`
 	// Answer marks an answer to an instance that was behind; it is not answered in turn.
 	Answer bool `cbor:"9,keyasint,omitempty"`
+	// Quarantine is what the sender knows of prompt parts that crash servers.
+	Quarantine quarantine.Report `cbor:"10,keyasint"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -107,6 +110,11 @@
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
 		g.router.suspects.Merge(now, received.Losses)
+		if err := received.Quarantine.Check(); err != nil {
+			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
+		} else {
+			g.router.quarantine.Merge(now, received.Quarantine)
+		}
 		for _, leaving := range received.Leaving {
 			g.router.servers.MarkLeaving(leaving)
 		}
@@ -164,7 +172,7 @@
 func (r *Router) message() message {
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
-		Version: r.configuration.Version(),
+		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
 	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -67,7 +67,8 @@
 		// No batch delay: pausing before the next long poll would let the known configuration grow more stale.
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
-		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send,
+		r.followTable(quarantineTable, serversPollTimeout(r.settings.Bounds), 0, r.applyVerdicts),
+		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
@@ -232,6 +233,7 @@
 		select {
 		case <-ticker.C:
 			r.logServers(r.servers.Sweep())
+			r.quarantine.Sweep(time.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -302,6 +304,7 @@
 func (r *Router) observeRestore(era table.Era) {
 	r.journal.Log("store_restored", "era", era, "version", r.configuration.Version())
 	r.servers.ObserveRestore()
+	r.rewriteVerdicts()
 }
 
 // storeEraSince returns the agreed time at which this instance first saw the store's current era.
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/table"
 	"vanillapond/internal/request/forward"
 )
@@ -30,6 +32,8 @@
 	announcements        *prometheus.CounterVec
 	droppedLines         *prometheus.CounterVec
 	suspectEvents        *prometheus.CounterVec
+	quarantineEvents     *prometheus.CounterVec
+	crashes              prometheus.Counter
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -77,12 +81,19 @@
 		suspectEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_suspect_events_total", Help: "Losses of servers that count against requests, by event of the log.",
 		}, []string{"event"}),
+		quarantineEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_quarantine_events_total",
+			Help: "Changes of what is known of prompt parts that crash servers, by event of the log.",
+		}, []string{"event"}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "vanillapond_router_server_crashes_total", Help: "Servers that crashed during requests with prompt parts.",
+		}),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents)
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
 	m.registry.MustRegister(retryBudgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
@@ -216,6 +227,9 @@
 	if broken && len(record.Parts) > 0 {
 		pairs = append(pairs, "parts", formatParts(record.Parts))
 	}
+	if record.QuarantinedPart != 0 {
+		pairs = append(pairs, "part", strconv.FormatUint(uint64(record.QuarantinedPart), 16))
+	}
 	if record.Route == "" {
 		pairs = append(pairs, "host", record.Host, "path", record.Path)
 	}
@@ -223,10 +237,10 @@
 }
 
 // formatParts returns the ids of prompt parts in hexadecimal, separated by commas.
-func formatParts(parts []uint64) string {
+func formatParts(parts []quarantine.Part) string {
 	texts := make([]string, len(parts))
 	for index, part := range parts {
-		texts[index] = strconv.FormatUint(part, 16)
+		texts[index] = strconv.FormatUint(uint64(part), 16)
 	}
 	return strings.Join(texts, ",")
 }
@@ -236,3 +250,9 @@
 	r.metrics.suspectEvents.WithLabelValues(event.Name).Inc()
 	r.journal.Log(event.Name, "digest", strconv.FormatUint(event.Digest, 16), "server", event.Server, "servers", event.Servers)
 }
+
+// recordCrash logs and counts the crash of a server.
+func (r *Router) recordCrash(server *servers.Server, cause error) {
+	r.metrics.crashes.Inc()
+	r.journal.Log("server_crashed", "server", server.ID, "service", server.Service, "address", server.Address, "err", cause)
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -23,6 +23,7 @@
 	"vanillapond/internal/process/lease"
 	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/peers"
+	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/forward"
@@ -46,16 +47,20 @@
 
 // Router is a running router instance.
 type Router struct {
-	settings        platform.Settings
-	build           string
-	incarnation     ident.Incarnation
-	journal         *journal.Journal
-	metrics         *metrics
-	store           *platform.Store
-	configuration   *routes.Current
-	servers         *servers.Registry
-	peers           *peers.Registry
-	suspects        *forward.SuspectList
+	settings      platform.Settings
+	build         string
+	incarnation   ident.Incarnation
+	journal       *journal.Journal
+	metrics       *metrics
+	store         *platform.Store
+	configuration *routes.Current
+	servers       *servers.Registry
+	peers         *peers.Registry
+	suspects      *forward.SuspectList
+	quarantine    *quarantine.Registry
+	crashes       servers.CrashDetector
+	// pendingVerdicts holds the verdicts of this instance that are not in the store yet.
+	pendingVerdicts chan quarantine.Verdict
 	counter         *usage.Counter
 	lease           *lease.Lease
 	callerListener  *listener.Listener
@@ -111,6 +116,9 @@
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
 	r.suspects = forward.NewSuspectList(r.recordSuspect)
+	r.crashes.OnCrash = r.recordCrash
+	r.pendingVerdicts = make(chan quarantine.Verdict, maxPendingVerdicts)
+	r.quarantine = quarantine.New(quarantine.Config{OwnsTrials: r.ownsTrials, OnEvent: r.recordQuarantine})
 	if err := r.assemble(ctx, config); err != nil {
 		return nil, err
 	}
@@ -197,7 +205,7 @@
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get,
 		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Usage: r.counter, Observe: r.observe, OnInvalidPause: r.recordInvalidPause,
+		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Observe: r.observe, OnInvalidPause: r.recordInvalidPause,
 		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
 		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
 	})
