direct: bound the heads of responses

Change: a connection's reader fails after 64 KiB of a response's head and the interim responses before it; the connection is closed, as after any response that is malformed. Each skipped response gets the limit again; bodies are not limited by it.

--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -13,6 +14,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/oops"
+
 	"vanillapond/internal/process/outcome"
 )
 
@@ -23,6 +26,8 @@
 	// maxInlineBody is the size up to which a request's body is written before the response is read; a larger one is written
 	// concurrently.
 	maxInlineBody = 4 << 10
+	// maxHeadBytes bounds a response's head together with the interim responses before it.
+	maxHeadBytes = 64 << 10
 	// maxUnmatched is how many responses to other requests are skipped before the connection is closed.
 	maxUnmatched = 3
 	// maxUnmatchedBytes bounds the body of a skipped response.
@@ -33,6 +38,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds what reader reads from the connection.
+	limit *readLimit
 	// reused means that the connection carried a request before.
 	reused bool
 	// idleSince and idleTimeout are only valid while the connection is idle.
@@ -41,7 +48,25 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}
+	limit := &readLimit{source: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, idleTimeout: defaultIdleTimeout}
+}
+
+// readLimit is a reader that fails after a number of bytes. Unlike with an io.LimitedReader, the limit can't be taken for the end of
+// the connection, which completes a response without a length.
+type readLimit struct {
+	source io.Reader
+	// remaining is how many bytes may still be read.
+	remaining int64
+}
+
+func (l *readLimit) Read(buffer []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, oops.Wrapf(ErrMalformed, "head is longer than %d bytes", maxHeadBytes)
+	}
+	n, err := l.source.Read(buffer[:min(int64(len(buffer)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
 }
 
 // Response is a server's response whose head has arrived; Close must be called.
@@ -130,6 +155,7 @@
 // readHead reads response heads until one belongs to the request; it skips interim responses and responses to other requests.
 func (r *Response) readHead(request *Request) error {
 	method := &http.Request{Method: request.Method}
+	r.conn.limit.remaining = maxHeadBytes
 	for unmatched := 0; ; {
 		httpResponse, err := http.ReadResponse(r.conn.reader, method) //nolint:bodyclose // Close closes or reuses the connection.
 		if err != nil {
@@ -141,6 +167,7 @@
 		if httpResponse.StatusCode < http.StatusOK {
 			continue
 		}
+		r.conn.limit.remaining = math.MaxInt64
 		if isResponseTo(httpResponse, request, r.conn.reused) {
 			r.accept(httpResponse)
 			// A late second copy of a response without an id could not be told from the response to the next request.
@@ -154,6 +181,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxUnmatchedBytes)); err != nil || n == maxUnmatchedBytes {
 			return errors.Join(ErrMalformed, err)
 		}
+		r.conn.limit.remaining = maxHeadBytes
 	}
 }
 
