forward: relay long error bodies whole

Change: an error response that is not retried and longer than the buffer is relayed like a long successful one, and cut at the deadline if it has not ended. finishComplete gives both the same end; a long error response counts as one. TestLongErrorBody: the caller got 65536 of 102400 bytes with relay.go as before, all now. go test -race -count=3 ./internal/request/forward: ok.

--- a/internal/request/forward/endless_test.go
+++ b/internal/request/forward/endless_test.go
@@ -104,3 +104,19 @@
 		})
 	}
 }
+
+// TestLongErrorBody verifies that an error body that is too long to be buffered reaches the caller whole.
+func TestLongErrorBody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	long := strings.Repeat("x", 100<<10)
+	h := newHarness(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		setSignature(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, long)
+	})
+	response, body, err := h.send(t, "/once/", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusInternalServerError)
+	is.Equal(len(body), len(long))
+}
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -58,8 +58,7 @@
 	if len(body) < maxBuffered {
 		c.writeHead(response, len(body))
 		c.write(body)
-		c.finish(outcomeServed, "")
-		return done, placement.Succeeded
+		return c.finishComplete(response)
 	}
 	return c.relayUnbuffered(response, body)
 }
@@ -82,13 +81,12 @@
 		c.forwarder.config.Budget(c.service).Remaining(time.Now()) >= 1 {
 		return failedByServer, placement.Failed
 	}
+	if len(body) == maxBuffered {
+		return c.relayUnbuffered(response, body)
+	}
 	c.writeHead(response, len(body))
 	c.write(body)
-	c.finish(outcomeServerFailure, "server answered with a failure")
-	if response.Status >= http.StatusInternalServerError {
-		return done, placement.Failed
-	}
-	return done, placement.Succeeded
+	return c.finishComplete(response)
 }
 
 // relayUnbuffered relays a response that is too long to be buffered; start is what was read so far.
@@ -101,8 +99,7 @@
 		c.write(buffer[:n])
 		switch {
 		case errors.Is(err, io.EOF):
-			c.finish(outcomeServed, "")
-			return done, placement.Succeeded
+			return c.finishComplete(response)
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
 			return done, placement.Failed
@@ -110,6 +107,19 @@
 	}
 }
 
+// finishComplete ends a request whose response was relayed completely.
+func (c *call) finishComplete(response *direct.Response) (attemptResult, placement.Result) {
+	if isSuccess(response.Status) {
+		c.finish(outcomeServed, "")
+		return done, placement.Succeeded
+	}
+	c.finish(outcomeServerFailure, "server answered with a failure")
+	if response.Status >= http.StatusInternalServerError {
+		return done, placement.Failed
+	}
+	return done, placement.Succeeded
+}
+
 // relayStream relays the events of a stream, each as soon as it is complete.
 func (c *call) relayStream(
 	response *direct.Response, server *servers.Server, attempt *placement.Attempt,
