backend: bound the heads of responses

Change: both transports allow 64 KiB for a head and the interim responses before it, as the router's connections do.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -25,6 +25,9 @@
 // copyBufferSize is the maximum size of one chunk of a response, in bytes.
 const copyBufferSize = 32 << 10
 
+// maxHeadBytes bounds a response's head together with the interim responses before it.
+const maxHeadBytes = 64 << 10
+
 // Errors of a backend. Their texts reach the entry as the reason of a Deny.
 var (
 	// ErrNotReached is returned if no byte of the request reached the backend.
@@ -61,11 +64,16 @@
 	const idleConnections = 256
 	return &Backend{
 		config:           config,
-		idempotentClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}, CheckRedirect: doNotFollow},
-		atMostOnceClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: doNotFollow},
+		idempotentClient: newClient(&http.Transport{MaxIdleConnsPerHost: idleConnections}),
+		atMostOnceClient: newClient(&http.Transport{DisableKeepAlives: true}),
 	}
 }
 
+func newClient(transport *http.Transport) *http.Client {
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &http.Client{Transport: transport, CheckRedirect: doNotFollow}
+}
+
 // doNotFollow returns redirects to the caller instead of following them.
 func doNotFollow(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
