--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -24,6 +24,9 @@
 // maxCompletionBytes is the maximum size of a completion that is not streamed, in bytes; the rest of a longer one is dropped.
 const maxCompletionBytes = 64 << 20
 
+// maxEventBytes bounds an event that is held until it is complete.
+const maxEventBytes = 1 << 20
+
 // eventBufferSize is the size of the read buffer, in bytes; a longer line of an event is read in several steps.
 const eventBufferSize = 16 << 10
 
@@ -84,12 +87,15 @@
 
 // copyEvents copies an event stream until its end and returns its usage.
 //
-// It returns ErrInterrupted for a stream without the end marker.
+// It returns ErrInterrupted for a stream without the end marker or with an event that is too long.
 func copyEvents(w io.Writer, r io.Reader, includeUsage bool) (link.Usage, error) {
 	copier := &eventCopier{w: w, includeUsage: includeUsage}
 	reader := bufio.NewReaderSize(r, eventBufferSize)
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(copier.event)+len(line) > maxEventBytes {
+			return copier.partialUsage(), oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
+		}
 		copier.event = append(copier.event, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
