backend: pass long completions on whole

Change: a longer completion is passed on until its end or the deadline; only the copy that is searched for the usage is bounded, and is dropped when the completion exceeds it. Such a completion is billed as a request without tokens, as before.

--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -21,7 +21,7 @@
 	usageMarker = []byte(`"usage":{`)
 )
 
-// maxCompletionBytes is the maximum size of a completion that is not streamed, in bytes; the rest of a longer one is dropped.
+// maxCompletionBytes is the maximum size of a completion that is not streamed and whose usage is read, in bytes.
 const maxCompletionBytes = 64 << 20
 
 // maxEventBytes bounds an event that is held until it is complete.
@@ -62,14 +62,32 @@
 	return prepared, mode, err
 }
 
+// completionBuffer keeps a copy of a completion, unless it is longer than maxCompletionBytes.
+type completionBuffer struct {
+	content bytes.Buffer
+	// tooLong is set once the completion is too long; content is empty from then on.
+	tooLong bool
+}
+
+// Write implements io.Writer.
+func (b *completionBuffer) Write(chunk []byte) (int, error) {
+	if b.content.Len()+len(chunk) > maxCompletionBytes {
+		b.tooLong, b.content = true, bytes.Buffer{}
+	}
+	if !b.tooLong {
+		b.content.Write(chunk)
+	}
+	return len(chunk), nil
+}
+
 // copyCompletion copies a response that is not streamed and returns its usage.
 func copyCompletion(w io.Writer, r io.Reader) (link.Usage, error) {
-	var body bytes.Buffer
-	if err := copyBody(w, io.TeeReader(io.LimitReader(r, maxCompletionBytes), &body)); err != nil {
+	var body completionBuffer
+	if err := copyBody(w, io.TeeReader(r, &body)); err != nil {
 		return link.Usage{}, err
 	}
 	var completion api.Completion
-	if err := json.Unmarshal(body.Bytes(), &completion); err != nil || completion.Usage == nil {
+	if err := json.Unmarshal(body.content.Bytes(), &completion); err != nil || completion.Usage == nil {
 		return fallbackUsage(0), nil //nolint:nilerr // A response in another form is passed on and billed as a request.
 	}
 	return reportedUsage(*completion.Usage), nil
