backend: a switch of protocols is no response

Change: Run returns ErrInterrupted for status 101, before anything is passed on. Result: go test -race -count=3 ./internal/connection/backend: ok; TestSwitchingProtocols failed before.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -136,6 +136,9 @@
 		return link.Usage{}, oops.Wrapf(ErrInterrupted, "%v", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return link.Usage{}, oops.Wrapf(ErrInterrupted, "back end switched protocols without a request to do so")
+	}
 	if err := writer.Head(response.StatusCode, EndToEndHeaders(response.Header)); err != nil {
 		return link.Usage{}, err
 	}
