--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -21,9 +21,12 @@
 	usageMarker = []byte(`"usage":{`)
 )
 
-// maxCompletionBytes is the maximum size of a completion that is not streamed, in bytes; a longer one is interrupted.
+// maxCompletionBytes is the maximum size of a completion that is not streamed and whose usage is read, in bytes.
 const maxCompletionBytes = 64 << 20
 
+// maxEventBytes bounds an event that is held until it is complete.
+const maxEventBytes = 1 << 20
+
 // eventBufferSize is the size of the read buffer, in bytes; a longer line of an event is read in several steps.
 const eventBufferSize = 16 << 10
 
@@ -59,17 +62,32 @@
 	return prepared, mode, err
 }
 
+// completionBuffer keeps a copy of a completion, unless it is longer than maxCompletionBytes.
+type completionBuffer struct {
+	content bytes.Buffer
+	// tooLong is set once the completion is too long; content is empty from then on.
+	tooLong bool
+}
+
+// Write implements io.Writer.
+func (b *completionBuffer) Write(chunk []byte) (int, error) {
+	if b.content.Len()+len(chunk) > maxCompletionBytes {
+		b.tooLong, b.content = true, bytes.Buffer{}
+	}
+	if !b.tooLong {
+		b.content.Write(chunk)
+	}
+	return len(chunk), nil
+}
+
 // copyCompletion copies a response that is not streamed and returns its usage.
 func copyCompletion(w io.Writer, r io.Reader) (link.Usage, error) {
-	var body bytes.Buffer
-	if err := copyBody(w, io.TeeReader(io.LimitReader(r, maxCompletionBytes), &body)); err != nil {
+	var body completionBuffer
+	if err := copyBody(w, io.TeeReader(r, &body)); err != nil {
 		return link.Usage{}, err
 	}
-	if _, err := io.ReadFull(r, make([]byte, 1)); !errors.Is(err, io.EOF) {
-		return link.Usage{}, oops.Wrapf(ErrInterrupted, "the completion is longer than %d bytes", maxCompletionBytes)
-	}
 	var completion api.Completion
-	if err := json.Unmarshal(body.Bytes(), &completion); err != nil || completion.Usage == nil {
+	if err := json.Unmarshal(body.content.Bytes(), &completion); err != nil || completion.Usage == nil {
 		return fallbackUsage(0), nil //nolint:nilerr // A response in another form is passed on and billed as a request.
 	}
 	return reportedUsage(*completion.Usage), nil
@@ -87,12 +105,15 @@
 
 // copyEvents copies an event stream until its end and returns its usage.
 //
-// It returns ErrInterrupted for a stream without the end marker.
+// It returns ErrInterrupted for a stream without the end marker or with an event that is too long.
 func copyEvents(w io.Writer, r io.Reader, includeUsage bool) (link.Usage, error) {
 	copier := &eventCopier{w: w, includeUsage: includeUsage}
 	reader := bufio.NewReaderSize(r, eventBufferSize)
 	for {
 		line, err := reader.ReadSlice('\n')
+		if len(copier.event)+len(line) > maxEventBytes {
+			return copier.partialUsage(), oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
+		}
 		copier.event = append(copier.event, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
