Soak: responses that end with their connection

Cause: servers may send responses with neither a length nor chunks. No test ran routers against such servers, and the proxy in front of the servers turned resets into orderly closes, which end such a response.

The proxy closes in order only after it forwarded everything. Streams have the content type text/event-stream. The callers' check of complete streams is as before; a new check demands that some unframed responses are complete.

--- a/soak/backend_faults_test.go
+++ b/soak/backend_faults_test.go
@@ -233,9 +233,18 @@
 
 // writeEvents writes the events of a stream after the given one.
 func writeEvents(w http.ResponseWriter, request string, after, last int) {
-	for eventID := after + 1; eventID <= last; eventID++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", eventID, request)
+	for _, event := range eventTexts(request, after)[:last-after] {
+		_, _ = io.WriteString(w, event)
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(eventInterval)
 	}
 }
+
+// eventTexts returns the events of a stream after the given one.
+func eventTexts(request string, after int) []string {
+	var events []string
+	for eventID := after + 1; eventID <= eventCount; eventID++ {
+		events = append(events, fmt.Sprintf("id: %d\ndata: %s\n\n", eventID, request))
+	}
+	return events
+}
--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -101,6 +101,7 @@
 	// proxies holds the proxies of all servers, also of those that are gone.
 	proxies           map[ident.Endpoint]*proxy
 	withBackendFaults bool
+	unframed          *unframedResponses
 }
 
 // routerProcess is one router instance and the proxy between it and the store.
@@ -140,6 +141,7 @@
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
+		unframed: newUnframedResponses(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -198,6 +200,7 @@
 	b := &backend{id: id, proxy: newProxy(e.t, server.Listener.Addr().String())}
 	e.backends = append(e.backends, b)
 	e.proxies[id] = b.proxy
+	e.unframed.add(id, e.random)
 	e.register(b, platform.ServerReady)
 }
 
@@ -273,15 +276,30 @@
 	e.mu.Unlock()
 	w.Header().Set(platform.HeaderRequestID, request)
 	w.Header().Set(platform.HeaderSignature, "seal")
-	if !strings.HasPrefix(r.URL.Path, "/flow/") && !strings.HasPrefix(r.URL.Path, "/again/") {
-		time.Sleep(responseDelay)
-		_, _ = io.WriteString(w, "whole "+request)
+	stream := strings.HasPrefix(r.URL.Path, "/flow/") || strings.HasPrefix(r.URL.Path, "/again/")
+	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
+	if stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if e.faults.interfere(w, request, after) {
+			return
+		}
+	}
+	if e.unframed.sends(id) {
+		// A connection that is closed before its request was read sends a reset.
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if err := e.unframed.respond(w, request, stream, after); err != nil {
+			e.failf("server %s sends no unframed response: %v", id, err)
+		}
 		return
 	}
-	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
-	if !e.faults.interfere(w, request, after) {
+	if stream {
 		writeEvents(w, request, after, eventCount)
+		return
 	}
+	time.Sleep(responseDelay)
+	_, _ = io.WriteString(w, "whole "+request)
 }
 
 func (e *environment) newRouter(index int) *routerProcess {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -123,11 +124,17 @@
 	}
 }
 
-// copy forwards bytes of one direction, unless the mode is blackhole or dropping.
+// copy forwards bytes of one direction, unless the mode is blackhole or dropping. It closes the connections in order only after the end
+// of what it forwarded: after missing bytes, an orderly close could pass for the end of a response.
 func (p *proxy) copy(to, from net.Conn, dropping mode) {
+	complete := false
 	defer func() {
-		_ = to.Close()
-		_ = from.Close()
+		for _, conn := range []net.Conn{to, from} {
+			if tcp, ok := conn.(*net.TCPConn); ok && !complete {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
 		p.mu.Lock()
 		delete(p.conns, to)
 		delete(p.conns, from)
@@ -151,6 +158,7 @@
 			}
 		}
 		if err != nil {
+			complete = errors.Is(err, io.EOF)
 			return
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,8 +2,9 @@
 // a seed determines.
 //
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
-// Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends. -routers 60 tests a large fleet. The environment variable
-// SOAK_LOGS names a folder for the processes' logs.
+// Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and
+// those from 30,000 on also unframed responses. -routers 60 tests a large fleet. The environment variable SOAK_LOGS names a folder for
+// the processes' logs.
 package soak_test
 
 import (
@@ -17,6 +18,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -49,8 +51,12 @@
 	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
 }
 
-// laterSeeds always run, so that short runs also cover late and slow calls, and faults of the backends.
-var laterSeeds = []uint64{firstLateSeed + 1, firstLateSeed + 2, firstBackendFaultSeed + 1, firstBackendFaultSeed + 2}
+// laterSeeds always run, so that short runs also cover late and slow calls, faults of the backends, and unframed
+// responses.
+var laterSeeds = []uint64{
+	firstLateSeed + 1, firstLateSeed + 2, firstBackendFaultSeed + 1, firstBackendFaultSeed + 2,
+	firstUnframedSeed + 1, firstUnframedSeed + 5,
+}
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
 func TestSoak(t *testing.T) {
@@ -91,6 +97,7 @@
 	clients.Wait()
 	e.checkExecutions()
 	e.checkAnnouncements()
+	e.checkUnframed()
 	e.checkUsage()
 }
 
@@ -146,6 +153,9 @@
 		if e.withBackendFaults && e.random.IntN(2) == 0 {
 			e.injectBackendFault(repairLater)
 		}
+		if e.unframed.enabled() && e.random.IntN(2) == 0 {
+			e.unframed.injectTruncation(e.random, repairLater)
+		}
 		index := e.random.IntN(len(e.routers))
 		router := e.routers[index]
 		switch e.random.IntN(11) {
@@ -216,6 +226,7 @@
 func (e *environment) heal() {
 	e.store.ClearFaults()
 	e.faults.clear()
+	e.unframed.setTruncation(truncation{})
 	for _, router := range e.routers {
 		router.store.setMode(forwardAll)
 	}
@@ -274,6 +285,7 @@
 	defer func() { _ = response.Body.Close() }()
 	e.faults.recordResponse(router.index, response.Header)
 	body, err = io.ReadAll(response.Body)
+	e.unframed.recordResponse(response.Header, response.StatusCode == http.StatusOK && err == nil)
 	return response.StatusCode, body, err == nil
 }
 
@@ -281,10 +293,7 @@
 func (e *environment) checkBody(id, kind string, body []byte) {
 	want := "whole " + id
 	if kind == "flow" || kind == "again" {
-		want = ""
-		for eventID := 1; eventID <= eventCount; eventID++ {
-			want += fmt.Sprintf("id: %d\ndata: %s\n\n", eventID, id)
-		}
+		want = strings.Join(eventTexts(id, 0), "")
 	}
 	if string(body) != want {
 		e.failf("request %s (%s) got a wrong body: %q", id, kind, body)
