Soak: a part of prompts that crashes engines

Cause: one part of a prompt may crash each engine that begins a response to it, in requests that differ in all else. Nothing bounds how many such requests reach engines: the routers count losses by the digest of the whole request.

Changed: seeds from 40,000 on run three routers and eight engines. For 12 s, requests with the part at a random position come at random routers, with the key and the other parts of sound requests; the engines crash on them, before or after the head of the response, with a reset or an orderly close, and are back after 1 to 2 s, with the same registration, a new start time or a new id. One router is killed and started again meanwhile; at random the store fails, and a router is cut off from it. New checks bound the requests with the part that reach engines later than the recovery bound after the fifth crash, and demand that sound requests with the same key or first part begin at least half as often as before.

--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -102,6 +102,8 @@
 	proxies           map[ident.Endpoint]*proxy
 	withBackendFaults bool
 	unframed          *unframedResponses
+	// part is nil for seeds without engines.
+	part *crashingPart
 }
 
 // routerProcess is one router instance and the proxy between it and the store.
@@ -141,7 +143,7 @@
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
-		unframed: newUnframedResponses(seed),
+		unframed: newUnframedResponses(seed), part: newCrashingPart(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -150,8 +152,12 @@
 	t.Cleanup(e.store.Close)
 	t.Cleanup(e.duties.Close)
 	e.configure()
-	for index := range backendCount {
-		e.addBackend(ident.Endpoint("i-" + strconv.Itoa(index)))
+	if e.part != nil {
+		e.addEngines()
+	} else {
+		for index := range backendCount {
+			e.addBackend(ident.Endpoint("i-" + strconv.Itoa(index)))
+		}
 	}
 	for index := range *routerCount {
 		e.routers = append(e.routers, e.newRouter(index))
@@ -169,12 +175,16 @@
 // writeConfiguration writes the current version of the configuration.
 func (e *environment) writeConfiguration() {
 	configuration := platform.Configuration{Version: e.version, Services: []platform.Service{{Name: "s", MaxConnections: 60}}}
+	if e.part != nil {
+		configuration.Services[0].Engine = &platform.Engine{BatchSize: engineSlots, KVCacheTokens: engineKVCacheTokens, TokensPerEvent: 1}
+	}
 	for _, route := range []platform.Route{
 		{Name: "safe", PathPrefix: "/safe/", Kind: platform.Idempotent},
 		{Name: "once", PathPrefix: "/once/", Kind: platform.NonIdempotent},
 		{Name: "flow", PathPrefix: "/flow/", Kind: platform.Streaming},
 		{Name: "again", PathPrefix: "/again/", Kind: platform.Streaming, Resumable: true},
 	} {
+		route.CarriesPrompts = e.part != nil
 		route.Host, route.Timeout, route.Service, route.MaxServers = host, 2000, "s", 2
 		configuration.Routes = append(configuration.Routes, route)
 	}
@@ -205,10 +215,17 @@
 }
 
 func (e *environment) register(b *backend, state platform.ServerState) {
+	e.putRegistration(b.id, platform.Server{
+		Service: "s", Address: b.proxy.address(), Domain: "a", State: state, Slots: 20, StartedUnixMS: 1,
+	})
+}
+
+// putRegistration writes a server's registration.
+func (e *environment) putRegistration(id ident.Endpoint, registration platform.Server) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.registrations[b.id] = platform.Server{Service: "s", Address: b.proxy.address(), Domain: "a", State: state, Slots: 20, StartedUnixMS: 1}
-	e.store.Put(platform.ServersTable, string(b.id), e.registrations[b.id])
+	e.registrations[id] = registration
+	e.store.Put(platform.ServersTable, string(id), registration)
 }
 
 // deregister deletes a server's registration.
@@ -254,6 +271,14 @@
 	e.backends[index], e.backends = e.backends[last], e.backends[:last]
 }
 
+// recordExecution records that a server executes a request.
+func (e *environment) recordExecution(id ident.Endpoint, request string, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.executions[request] = append(e.executions[request],
+		executionRecord{id, ident.Customer(r.Header.Get(platform.HeaderCustomer)), r.URL.Path})
+}
+
 // serve is the handler of a backend: it records the execution and sends a response that contains the request ID.
 func (e *environment) serve(id ident.Endpoint, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get(platform.HeaderRequestID)
@@ -270,12 +295,8 @@
 	if e.faults.refuse(id, router, w) {
 		return
 	}
-	e.mu.Lock()
-	e.executions[request] = append(e.executions[request],
-		executionRecord{id, ident.Customer(r.Header.Get(platform.HeaderCustomer)), r.URL.Path})
-	e.mu.Unlock()
-	w.Header().Set(platform.HeaderRequestID, request)
-	w.Header().Set(platform.HeaderSignature, "seal")
+	e.recordExecution(id, request, r)
+	setResponseHeader(w, request)
 	stream := strings.HasPrefix(r.URL.Path, "/flow/") || strings.HasPrefix(r.URL.Path, "/again/")
 	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
 	if stream {
@@ -302,6 +323,12 @@
 	_, _ = io.WriteString(w, "whole "+request)
 }
 
+// setResponseHeader sets the headers that mark a response as a server's response to the request.
+func setResponseHeader(w http.ResponseWriter, request string) {
+	w.Header().Set(platform.HeaderRequestID, request)
+	w.Header().Set(platform.HeaderSignature, "seal")
+}
+
 func (e *environment) newRouter(index int) *routerProcess {
 	router := &routerProcess{index: index, store: newProxy(e.t, e.store.Address())}
 	var addresses []string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,7 +3,7 @@
 //
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
 // Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and
-// those from 30,000 on also unframed responses. -routers 60 tests a large fleet. The environment variable SOAK_LOGS names a folder for
+// those from 30,000 on also unframed responses. Those from 40,000 on run engines, which a part of prompts crashes. -routers 60 tests a large fleet. The environment variable SOAK_LOGS names a folder for
 // the processes' logs.
 package soak_test
 
@@ -51,11 +51,12 @@
 	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
 }
 
-// laterSeeds always run, so that short runs also cover late and slow calls, faults of the backends, and unframed
-// responses.
+// laterSeeds always run, so that short runs also cover late and slow calls, faults of the backends, unframed
+// responses, and parts of prompts that crash engines.
 var laterSeeds = []uint64{
 	firstLateSeed + 1, firstLateSeed + 2, firstBackendFaultSeed + 1, firstBackendFaultSeed + 2,
 	firstUnframedSeed + 1, firstUnframedSeed + 5,
+	firstCrashingPartSeed + 1, firstCrashingPartSeed + 2,
 }
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
@@ -72,7 +73,11 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			e := newEnvironment(t, binary, seed)
-			e.runSeed()
+			if e.part != nil {
+				e.runCrashingPart()
+			} else {
+				e.runSeed()
+			}
 			for _, failure := range e.failures {
 				t.Error(failure)
 			}
@@ -235,13 +240,16 @@
 	}
 }
 
+// kinds are the kinds of requests, which are also the first segments of their paths.
+var kinds = []string{"safe", "once", "flow", "again"}
+
 // sendRequests sends requests over persistent connections, one after another, until the context ends.
 func (e *environment) sendRequests(ctx context.Context, caller int) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	for count := 0; ctx.Err() == nil; count++ {
 		id := fmt.Sprintf("%d-%d", caller, count)
-		kind := []string{"safe", "once", "flow", "again"}[(caller+count)%4]
+		kind := kinds[(caller+count)%len(kinds)]
 		router := e.routers[(caller+count/7)%len(e.routers)]
 		e.mu.Lock()
 		key := e.keys[count%len(e.keys)]
@@ -250,14 +258,19 @@
 				key = withdrawnKey
 			}
 		}
-		e.requests[id] = callerRequest{sentAt: time.Now(), router: router.index, atMostOnce: kind == "once" || kind == "flow", key: key}
-		e.mu.Unlock()
-		status, body, complete := e.send(transport, router, id, "/"+kind+"/x", key)
-		e.mu.Lock()
-		request := e.requests[id]
-		request.status = status
-		e.requests[id] = request
 		e.mu.Unlock()
+		e.recordSent(id, kind, router, key)
+		var shared []string
+		if e.part != nil {
+			shared = e.part.sharedParts(count / len(kinds))
+		}
+		sentAt := time.Now()
+		status, body, complete := e.send(transport, router, id, "/"+kind+"/x", key, shared)
+		e.recordStatus(id, status)
+		if e.part != nil {
+			begun := status == http.StatusOK && (complete || bytes.Contains(body, []byte("\n\n")))
+			e.part.recordRequest(promptRequest{sentAt: sentAt, router: router.index, kind: kind, key: key, parts: shared, begun: begun})
+		}
 		if status == http.StatusOK && complete {
 			e.checkBody(id, kind, body)
 		}
@@ -265,7 +278,26 @@
 	}
 }
 
-func (e *environment) send(transport *http.Transport, router *routerProcess, id, path, key string) (status int, body []byte, complete bool) {
+// recordSent records a request that is about to be sent.
+func (e *environment) recordSent(id, kind string, router *routerProcess, key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests[id] = callerRequest{sentAt: time.Now(), router: router.index, atMostOnce: kind == "once" || kind == "flow", key: key}
+}
+
+// recordStatus records the status of the response to a request.
+func (e *environment) recordStatus(id string, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	request := e.requests[id]
+	request.status = status
+	e.requests[id] = request
+}
+
+// send sends a request, with the headers that describe a prompt if the shared parts are given.
+func (e *environment) send(
+	transport *http.Transport, router *routerProcess, id, path, key string, shared []string,
+) (status int, body []byte, complete bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeoutMS*time.Millisecond)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router.callerAddress+path, bytes.NewReader([]byte(id)))
@@ -278,6 +310,9 @@
 	request.Header.Set(platform.HeaderRequestID, id)
 	request.Header.Set(platform.HeaderDeadline, strconv.Itoa(callerTimeoutMS))
 	request.Header.Set("Authorization", platform.KeyScheme+key)
+	if shared != nil {
+		setPrompt(request.Header, id, shared)
+	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0, nil, false
