--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,9 +2,9 @@
 // a seed determines.
 //
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
-// Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and
-// those from 30,000 on also unframed responses. Those from 40,000 on run engines, which a part of prompts crashes. -routers 60 tests a large fleet. The environment variable SOAK_LOGS names a folder for
-// the processes' logs.
+// Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and those from
+// 30,000 on also unframed responses. Those from 40,000 on run engines, which a part of prompts crashes. -routers 60 tests a large fleet.
+// The environment variable SOAK_LOGS names a folder for the processes' logs.
 package soak_test
 
 import (
