--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -101,6 +101,9 @@
 	// proxies holds the proxies of all servers, also of those that are gone.
 	proxies           map[ident.Endpoint]*proxy
 	withBackendFaults bool
+	unframed          *unframedResponses
+	// part is nil for seeds without engines.
+	part *crashingPart
 }
 
 // routerProcess is one router instance and the proxy between it and the store.
@@ -140,6 +143,7 @@
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
+		unframed: newUnframedResponses(seed), part: newCrashingPart(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -148,8 +152,12 @@
 	t.Cleanup(e.store.Close)
 	t.Cleanup(e.duties.Close)
 	e.configure()
-	for index := range backendCount {
-		e.addBackend(ident.Endpoint("i-" + strconv.Itoa(index)))
+	if e.part != nil {
+		e.addEngines()
+	} else {
+		for index := range backendCount {
+			e.addBackend(ident.Endpoint("i-" + strconv.Itoa(index)))
+		}
 	}
 	for index := range *routerCount {
 		e.routers = append(e.routers, e.newRouter(index))
@@ -167,12 +175,16 @@
 // writeConfiguration writes the current version of the configuration.
 func (e *environment) writeConfiguration() {
 	configuration := platform.Configuration{Version: e.version, Services: []platform.Service{{Name: "s", MaxConnections: 60}}}
+	if e.part != nil {
+		configuration.Services[0].Engine = &platform.Engine{BatchSize: engineSlots, KVCacheTokens: engineKVCacheTokens, TokensPerEvent: 1}
+	}
 	for _, route := range []platform.Route{
 		{Name: "safe", PathPrefix: "/safe/", Kind: platform.Idempotent},
 		{Name: "once", PathPrefix: "/once/", Kind: platform.NonIdempotent},
 		{Name: "flow", PathPrefix: "/flow/", Kind: platform.Streaming},
 		{Name: "again", PathPrefix: "/again/", Kind: platform.Streaming, Resumable: true},
 	} {
+		route.CarriesPrompts = e.part != nil
 		route.Host, route.Timeout, route.Service, route.MaxServers = host, 2000, "s", 2
 		configuration.Routes = append(configuration.Routes, route)
 	}
@@ -198,14 +210,22 @@
 	b := &backend{id: id, proxy: newProxy(e.t, server.Listener.Addr().String())}
 	e.backends = append(e.backends, b)
 	e.proxies[id] = b.proxy
+	e.unframed.add(id, e.random)
 	e.register(b, platform.ServerReady)
 }
 
 func (e *environment) register(b *backend, state platform.ServerState) {
+	e.putRegistration(b.id, platform.Server{
+		Service: "s", Address: b.proxy.address(), Domain: "a", State: state, Slots: 20, StartedUnixMS: 1,
+	})
+}
+
+// putRegistration writes a server's registration.
+func (e *environment) putRegistration(id ident.Endpoint, registration platform.Server) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.registrations[b.id] = platform.Server{Service: "s", Address: b.proxy.address(), Domain: "a", State: state, Slots: 20, StartedUnixMS: 1}
-	e.store.Put(platform.ServersTable, string(b.id), e.registrations[b.id])
+	e.registrations[id] = registration
+	e.store.Put(platform.ServersTable, string(id), registration)
 }
 
 // deregister deletes a server's registration.
@@ -251,6 +271,14 @@
 	e.backends[index], e.backends = e.backends[last], e.backends[:last]
 }
 
+// recordExecution records that a server executes a request.
+func (e *environment) recordExecution(id ident.Endpoint, request string, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.executions[request] = append(e.executions[request],
+		executionRecord{id, ident.Customer(r.Header.Get(platform.HeaderCustomer)), r.URL.Path})
+}
+
 // serve is the handler of a backend: it records the execution and sends a response that contains the request ID.
 func (e *environment) serve(id ident.Endpoint, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get(platform.HeaderRequestID)
@@ -267,21 +295,38 @@
 	if e.faults.refuse(id, router, w) {
 		return
 	}
-	e.mu.Lock()
-	e.executions[request] = append(e.executions[request],
-		executionRecord{id, ident.Customer(r.Header.Get(platform.HeaderCustomer)), r.URL.Path})
-	e.mu.Unlock()
-	w.Header().Set(platform.HeaderRequestID, request)
-	w.Header().Set(platform.HeaderSignature, "seal")
-	if !strings.HasPrefix(r.URL.Path, "/flow/") && !strings.HasPrefix(r.URL.Path, "/again/") {
-		time.Sleep(responseDelay)
-		_, _ = io.WriteString(w, "whole "+request)
+	e.recordExecution(id, request, r)
+	setResponseHeader(w, request)
+	stream := strings.HasPrefix(r.URL.Path, "/flow/") || strings.HasPrefix(r.URL.Path, "/again/")
+	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
+	if stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if e.faults.interfere(w, request, after) {
+			return
+		}
+	}
+	if e.unframed.sends(id) {
+		// A connection that is closed before its request was read sends a reset.
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if err := e.unframed.respond(w, request, stream, after); err != nil {
+			e.failf("server %s sends no unframed response: %v", id, err)
+		}
 		return
 	}
-	after, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
-	if !e.faults.interfere(w, request, after) {
+	if stream {
 		writeEvents(w, request, after, eventCount)
+		return
 	}
+	time.Sleep(responseDelay)
+	_, _ = io.WriteString(w, "whole "+request)
+}
+
+// setResponseHeader sets the headers that mark a response as a server's response to the request.
+func setResponseHeader(w http.ResponseWriter, request string) {
+	w.Header().Set(platform.HeaderRequestID, request)
+	w.Header().Set(platform.HeaderSignature, "seal")
 }
 
 func (e *environment) newRouter(index int) *routerProcess {
