A long response shows its request sound only once it is complete

Cause: a request was cleared when the first 64 KiB of its response were read, so that one that crashes servers later cleared itself (found by review). Change: recordCompleted after the body was relayed.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -53,9 +53,12 @@
 	if !success {
 		return c.relayFailure(response, body)
 	}
-	c.recordCompleted()
 	c.recordFirstByte()
-	return c.relayBody(response, body, outcomeServed, "")
+	result, serverResult := c.relayBody(response, body, outcomeServed, "")
+	if c.record.Outcome == outcomeServed {
+		c.recordCompleted()
+	}
+	return result, serverResult
 }
 
 // isContinuation reports whether a response may follow the events that the caller already has: only further events of the same kind
