--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -53,3 +53,12 @@
 		is.Equal(eventstream.Is(http.Header{"Content-Type": {value}}), want)
 	}
 }
+
+// TestIsWithMalformedParameter verifies that a malformed parameter does not exempt a stream from the check of its end.
+func TestIsWithMalformedParameter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, value := range []string{"text/event-stream; charset", "text/event-stream; charset=utf-8; charset=utf-8"} {
+		is.True(eventstream.Is(http.Header{"Content-Type": {value}}))
+	}
+}
