--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -57,9 +57,10 @@
 	// Budget returns the retry budget of a service.
 	Budget   func(ident.Pool) *retry.Budget
 	Suspects Suspects
-	// Quarantine holds the prompt parts that crash servers.
+	// Quarantine holds the prompt parts that crash servers; nil means one of its own.
 	Quarantine *quarantine.Registry
-	// HasCrashed reports whether a server to which a connection broke, for this cause, has crashed. It may take a second.
+	// HasCrashed reports whether a server to which a connection broke, for this cause, has crashed. It may take a second. nil means that
+	// no server does.
 	HasCrashed func(server *servers.Server, cause error) bool
 	Usage      UsageCounter
 	// MaxKeyAge returns the greatest age of the configuration at which a key that it lists is still accepted, because the key may
@@ -84,6 +85,12 @@
 	if config.Now == nil {
 		config.Now = clock.Boot
 	}
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.New(quarantine.Config{})
+	}
+	if config.HasCrashed == nil {
+		config.HasCrashed = func(*servers.Server, error) bool { return false }
+	}
 	return &Forwarder{config: config}
 }
 
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -54,11 +54,11 @@
 		return c.relayFailure(response, body)
 	}
 	c.recordFirstByte()
-	result, serverResult := c.relayBody(response, body, outcomeServed, "")
+	result := c.relayBody(response, body, outcomeServed, "")
 	if c.record.Outcome == outcomeServed {
 		c.recordCompleted()
 	}
-	return result, serverResult
+	return done, result
 }
 
 // isContinuation reports whether a response may follow the events that the caller already has: only further events of the same kind
@@ -79,21 +79,21 @@
 		c.forwarder.config.Budget(c.service).Remaining(time.Now()) >= 1 {
 		return failedByServer, placement.Failed
 	}
-	result, serverResult := c.relayBody(response, body, outcomeServerFailure, "server answered with a failure")
+	result := c.relayBody(response, body, outcomeServerFailure, "server answered with a failure")
 	if response.Status >= http.StatusInternalServerError {
-		serverResult = placement.Failed
+		result = placement.Failed
 	}
-	return result, serverResult
+	return done, result
 }
 
 // relayBody relays a response whose body, or the first maxBuffered bytes of it, was read before; outcome and reason are those of a
 // complete response.
-func (c *call) relayBody(response *direct.Response, start []byte, outcome, reason string) (attemptResult, placement.Result) {
+func (c *call) relayBody(response *direct.Response, start []byte, outcome, reason string) placement.Result {
 	if len(start) < maxBuffered {
 		c.writeHead(response, len(start))
 		c.write(start)
 		c.finish(outcome, reason)
-		return done, placement.Succeeded
+		return placement.Succeeded
 	}
 	c.writeHead(response, -1)
 	c.write(start)
@@ -104,10 +104,10 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			c.finish(outcome, reason)
-			return done, placement.Succeeded
+			return placement.Succeeded
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
-			return done, placement.Failed
+			return placement.Failed
 		}
 	}
 }
