One scanner finds the ends of events

Callers saw: sound streams aborted whose last blank line came in a packet of its own, or had a carriage return that the other lines had not. Cause: relayStream searched for two kinds of double line ends and kept what was behind the last one; eventstream.Reader decided by lines. The search also began anew at the start of an event for each read, however long the event.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -1,4 +1,4 @@
-// Package eventstream tells event streams that are complete from those that end inside an event.
+// Package eventstream tells event streams that are complete from those that end inside an event, and finds their events.
 package eventstream
 
 import (
@@ -16,40 +16,53 @@
 	return err == nil && mediaType == MediaType
 }
 
-// Reader reads an event stream and returns io.ErrUnexpectedEOF instead of io.EOF if the stream ends inside an event: an event is
-// complete only after a blank line.
-type Reader struct {
-	source io.Reader
-	// inLine means that the last byte read belongs to a line that has not ended.
+// Position is a place in an event stream; the zero value is its start.
+type Position struct {
+	// inLine means that the last byte belongs to a line that has not ended.
 	inLine bool
 	// inEvent means that the last blank line was followed by another line, or by a part of one.
 	inEvent bool
 }
 
+// InsideEvent reports whether the position is behind a part of an event, which is complete only after a blank line.
+func (p *Position) InsideEvent() bool { return p.inEvent }
+
+// Advance moves the position to the end of the following bytes. It returns how many of them end with the last event that is complete; 0
+// if none ends in them.
+func (p *Position) Advance(chunk []byte) (complete int) {
+	for index, char := range chunk {
+		switch char {
+		case '\n':
+			p.inEvent = p.inEvent && p.inLine
+			p.inLine = false
+			if !p.inEvent {
+				complete = index + 1
+			}
+		case '\r':
+			// Part of the line end. It must not make a blank line count as one with content.
+			p.inEvent = true
+		default:
+			p.inLine, p.inEvent = true, true
+		}
+	}
+	return complete
+}
+
+// Reader reads an event stream and returns io.ErrUnexpectedEOF instead of io.EOF if the stream ends inside an event.
+type Reader struct {
+	source   io.Reader
+	position Position
+}
+
 // NewReader returns a reader of a stream that is at its start or between two events.
 func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
 
 // Read implements io.Reader.
 func (r *Reader) Read(buffer []byte) (int, error) {
 	n, err := r.source.Read(buffer)
-	for _, char := range buffer[:n] {
-		r.advance(char)
-	}
-	if err == io.EOF && r.inEvent {
+	r.position.Advance(buffer[:n])
+	if err == io.EOF && r.position.InsideEvent() {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
-
-func (r *Reader) advance(char byte) {
-	switch char {
-	case '\n':
-		r.inEvent = r.inEvent && r.inLine
-		r.inLine = false
-	case '\r':
-		// Part of the line end. It must not make a blank line count as one with content.
-		r.inEvent = true
-	default:
-		r.inLine, r.inEvent = true, true
-	}
-}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -176,7 +176,9 @@
 	serversTried int
 	// lastEventID is the id of the last event that was relayed to the caller.
 	lastEventID string
-	lastEventAt time.Time
+	// lastEventHasID means that the last event that was relayed is the one with lastEventID.
+	lastEventHasID bool
+	lastEventAt    time.Time
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -112,119 +111,6 @@
 	}
 }
 
-// relayStream relays the events of a stream, each as soon as it is complete.
-func (c *call) relayStream(
-	response *direct.Response, server *servers.Server, attempt *placement.Attempt,
-) (attemptResult, placement.Result) {
-	var pending []byte
-	buffer := make([]byte, readSize)
-	started := false
-	for {
-		n, err := response.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if complete := completeEvents(pending); complete > 0 {
-			if !started {
-				started = true
-				c.firstEventAt = time.Now()
-				attempt.FirstEvent(c.firstEventAt)
-				c.countStart()
-			}
-			last, inOrder := lastEventID(pending[:complete], c.lastEventID)
-			if !inOrder {
-				return interruptedOrLost(c.headWritten), placement.Failed
-			}
-			c.recordEvent(time.Now())
-			c.writeHead(response, -1)
-			c.write(pending[:complete])
-			c.flush()
-			c.lastEventID = last
-			pending = append(pending[:0], pending[complete:]...)
-		}
-		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && (started || c.lastEventID != "" && response.Framed):
-			// Without a length or chunks, a connection that closes before the first event looks the same as a stream without further
-			// events.
-			c.recordCompleted()
-			c.finish(outcomeServed, "")
-			return done, placement.Succeeded
-		case err != nil || len(pending) > maxEventBytes:
-			return c.interruptedStream(server, err)
-		}
-	}
-}
-
-// interruptedStream returns the results of a stream that was interrupted before its regular end.
-func (c *call) interruptedStream(server *servers.Server, cause error) (attemptResult, placement.Result) {
-	if c.ctx.Err() != nil {
-		return interruptedOrLost(c.headWritten), placement.Neutral
-	}
-	c.recordLoss(server, cause)
-	return interruptedOrLost(c.headWritten), placement.Failed
-}
-
-func interruptedOrLost(headWritten bool) attemptResult {
-	if headWritten {
-		return interrupted
-	}
-	return lost
-}
-
-// completeEvents returns the length in bytes of the complete events at the start of content.
-func completeEvents(content []byte) int {
-	end := 0
-	if at := bytes.LastIndex(content, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
-	}
-	if at := bytes.LastIndex(content, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+len("\r\n\r\n"))
-	}
-	return end
-}
-
-// lastEventID returns the id of the last event that has one, or last, the id of the event before, if none has. It reports whether
-// the ids increase, beginning with last.
-func lastEventID(events []byte, last string) (id string, inOrder bool) {
-	id = last
-	for line := range bytes.Lines(events) {
-		found, ok := eventID(line)
-		if !ok {
-			continue
-		}
-		if !follows(found, id) {
-			return id, false
-		}
-		id = found
-	}
-	return id, true
-}
-
-// eventID returns the value of an id line.
-func eventID(line []byte) (string, bool) {
-	value, found := bytes.CutPrefix(line, []byte("id:"))
-	return string(bytes.TrimSpace(value)), found
-}
-
-// follows reports whether an event may come after the event with the id last. Ids increase within a stream; those that are not
-// numbers are not compared.
-func follows(id, last string) bool {
-	number, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
-		return true
-	}
-	lastNumber, err := strconv.ParseUint(last, 10, 64)
-	return err != nil || number > lastNumber
-}
-
-// recordEvent records the time of an event, and the pause since the one before.
-func (c *call) recordEvent(now time.Time) {
-	if c.record.TimeToFirstByte == 0 {
-		c.record.TimeToFirstByte = now.Sub(c.arrived)
-	} else {
-		c.record.LongestPause = max(c.record.LongestPause, now.Sub(c.lastEventAt))
-	}
-	c.lastEventAt = now
-}
-
 // recordFirstByte records the time until the first bytes of the response, once.
 func (c *call) recordFirstByte() {
 	if c.record.TimeToFirstByte == 0 {
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -111,6 +111,7 @@
 			return false
 		}
 		if c.headWritten {
+			// Otherwise the server that resumes the stream would send the events behind lastEventID again.
 			return c.route.Resumable && c.lastEventID != ""
 		}
 		return c.mayRunTwice()
