A comment is no event of a stream

Callers saw: a stream that ended as complete though the server that resumed it had closed the connection behind a comment. Change: only an event with data or an id does.

--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -42,7 +42,6 @@
 }
 
 func (e *Event) addLine(line []byte, first bool) {
-	e.HasContent = true
 	if false && first && bytes.HasPrefix(line, []byte("HTTP/1.")) {
 		e.IsResponseHead = true
 	}
