A run without ids does not continue a stream

Callers saw: the events of two runs joined, in a stream that ended as complete. Cause: the order of events was checked by their ids only, and a resumed run may have none. Change: the first event of the run that resumes a stream must have an id that follows.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -104,7 +104,7 @@
 	case event.HasID:
 		return follows(event.ID, last)
 	default:
-		return true
+		return !event.HasContent || r.started || last == ""
 	}
 }
 
