A stream is not resumed behind an event without an id

Callers saw: an event twice. Cause: a stream was resumed at the last id, though events without one had followed it. Change: it is resumed only if the last event that the caller has is the one with that id.

--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -112,7 +112,7 @@
 		}
 		if c.headWritten {
 			// Otherwise the server that resumes the stream would send the events behind lastEventID again.
-			return c.route.Resumable && c.lastEventID != ""
+			return c.route.Resumable && c.lastEventHasID
 		}
 		return c.mayRunTwice()
 	default:
