The head of a second response ends a stream

Callers saw: the head and the events of a second response within a stream without a length. Cause: bytes behind such a response are read as its body. Change: an event that begins like the head of a response interrupts the stream; the events before it are relayed.

--- a/internal/eventstream/event.go
+++ b/internal/eventstream/event.go
@@ -42,7 +42,7 @@
 }
 
 func (e *Event) addLine(line []byte, first bool) {
-	if false && first && bytes.HasPrefix(line, []byte("HTTP/1.")) {
+	if first && bytes.HasPrefix(line, []byte("HTTP/1.")) {
 		e.IsResponseHead = true
 	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
