An error response that is declared as an event stream need not be one

Callers saw: status 502 instead of a server's complete error response. Change: it reads successes only.

--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -205,7 +205,7 @@
 	r.Header = httpResponse.Header
 	r.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 	r.body = httpResponse.Body
-	if eventstream.Is(r.Header) {
+	if eventstream.Is(r.Header) && r.Status < http.StatusMultipleChoices {
 		r.body = eventstream.NewReader(r.body)
 	}
 	r.closeAfter = httpResponse.Close || !r.Framed
@@ -230,8 +230,8 @@
 	return defaultIdleTimeout
 }
 
-// Read reads from the body; it returns io.EOF only at the end of a complete body and another error if the body is truncated. An event
-// stream that ends inside an event is truncated, whatever its framing says.
+// Read reads from the body; it returns io.EOF only at the end of a complete body and another error if the body is truncated. The event
+// stream of a success is truncated if it ends inside an event, whatever its framing says.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
 	if err == io.EOF {
