Responses without a body are delivered on routes for streams

Callers saw: status 502 to a HEAD request, or instead of 204. Cause: a stream without events counts as lost. Change: a response that cannot have a body is relayed like those of other routes.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -37,7 +37,7 @@
 		c.countStart()
 		return lost, placement.Failed
 	}
-	if success && (c.headWritten || c.route.Kind == platform.Streaming) {
+	if success && (c.headWritten || c.route.Kind == platform.Streaming && c.hasBody(response)) {
 		return c.relayStream(response, server, attempt)
 	}
 	c.countStart()
@@ -68,6 +68,11 @@
 		response.Header.Get("Content-Type") == c.writer.Header().Get("Content-Type")
 }
 
+// hasBody reports whether a response may have a body.
+func (c *call) hasBody(response *direct.Response) bool {
+	return c.request.Method != http.MethodHead && response.Status != http.StatusNoContent
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
