The response to a HEAD request keeps its length

Callers saw: Content-Length 0. Cause: the length was set to that of the body, which a HEAD request does not get. Change: the server's length stays.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -133,7 +133,12 @@
 	header := c.writer.Header()
 	upstream := response.Header
 	platform.RemoveHopByHopHeaders(upstream)
-	upstream.Del("Content-Length")
+	if c.request.Method == http.MethodHead {
+		// The length is that of the body that a GET request would get.
+		length = -1
+	} else {
+		upstream.Del("Content-Length")
+	}
 	for name, values := range upstream {
 		header[name] = values
 	}
