A malformed parameter does not hide an event stream

Callers saw: with such a Content-Type, streams broken off inside an event were complete. Cause: mime.ParseMediaType fails as a whole. Change: only the type before the parameters counts.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -3,17 +3,17 @@
 
 import (
 	"io"
-	"mime"
 	"net/http"
+	"strings"
 )
 
 // MediaType is the media type of event streams.
 const MediaType = "text/event-stream"
 
-// Is reports whether a header declares an event stream.
+// Is reports whether a header declares an event stream, whatever the parameters of its media type.
 func Is(header http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && mediaType == MediaType
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), MediaType)
 }
 
 // Position is a place in an event stream; the zero value is its start.
