A long response that breaks off counts as a loss

Callers saw: a request that crashes servers late in a long response ran again and again. Cause: relayBody recorded no loss for what was broken off beyond the buffer. Change: it does, unless the caller has left or the time is up, which says nothing about the server's health either.

--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -50,10 +50,10 @@
 		return lost, placement.Failed
 	}
 	if !success {
-		return c.relayFailure(response, body)
+		return c.relayFailure(response, server, body)
 	}
 	c.recordFirstByte()
-	result := c.relayBody(response, body, outcomeServed, "")
+	result := c.relayBody(response, server, body, outcomeServed, "")
 	if c.record.Outcome == outcomeServed {
 		c.recordCompleted()
 	}
@@ -78,12 +78,12 @@
 }
 
 // relayFailure relays a server's error response, unless the request may be retried at another server.
-func (c *call) relayFailure(response *direct.Response, body []byte) (attemptResult, placement.Result) {
+func (c *call) relayFailure(response *direct.Response, server *servers.Server, body []byte) (attemptResult, placement.Result) {
 	if response.Status >= http.StatusInternalServerError && c.mayRetry(failedByServer) && time.Until(c.deadline) > minRemaining &&
 		c.forwarder.config.Budget(c.service).Remaining(time.Now()) >= 1 {
 		return failedByServer, placement.Failed
 	}
-	result := c.relayBody(response, body, outcomeServerFailure, "server answered with a failure")
+	result := c.relayBody(response, server, body, outcomeServerFailure, "server answered with a failure")
 	if response.Status >= http.StatusInternalServerError {
 		result = placement.Failed
 	}
@@ -92,13 +92,16 @@
 
 // relayBody relays a response whose body, or the first maxBuffered bytes of it, was read before; outcome and reason are those of a
 // complete response.
-func (c *call) relayBody(response *direct.Response, start []byte, outcome, reason string) placement.Result {
+func (c *call) relayBody(
+	response *direct.Response, server *servers.Server, start []byte, outcome, reason string,
+) placement.Result {
 	if len(start) < maxBuffered {
 		c.writeHead(response, len(start))
 		c.write(start)
 		c.finish(outcome, reason)
 		return placement.Succeeded
 	}
+	c.firstEventAt = time.Now()
 	c.writeHead(response, -1)
 	c.write(start)
 	buffer := make([]byte, readSize)
@@ -111,6 +114,10 @@
 			return placement.Succeeded
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
+			if c.ctx.Err() != nil {
+				return placement.Neutral
+			}
+			c.recordLoss(server, err)
 			return placement.Failed
 		}
 	}
