Soak: crashing parts are sent until sound requests can be compared

Change: the requests go on until 4 s of sound requests count, at most 25 s; prompts are written by platformtest.SetPrompt. No bound changed.

--- a/soak/crashing_part_test.go
+++ b/soak/crashing_part_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,12 +21,6 @@
 // smaller seeds.
 const firstCrashingPartSeed = 40_000
 
-// Headers that describe a prompt.
-const (
-	headerTokens = "X-Token-Counts"
-	headerPrefix = "X-Prompt-Prefix"
-)
-
 // Sizes and timing of the seeds with engines.
 const (
 	engineCount = 8
@@ -38,7 +31,11 @@
 	// warmUp precedes the time without faults, quietDuration, with which the time of the crashes is compared.
 	warmUp        = time.Second
 	quietDuration = 4 * time.Second
-	crashDuration = 12 * time.Second
+	// crashDuration is the least time in which requests crash engines. It goes on until sound requests were sent for compareDuration after
+	// the routers have to serve them again, at most for maxCrashDuration.
+	crashDuration    = 12 * time.Second
+	compareDuration  = 4 * time.Second
+	maxCrashDuration = 25 * time.Second
 	// crashInterval is the mean time between two requests that crash engines.
 	crashInterval = 300 * time.Millisecond
 	minRestart    = time.Second
@@ -64,7 +61,7 @@
 // crashingPart is a part of prompts that crashes each engine that begins a response to it, and all that the test records about it.
 type crashingPart struct {
 	seed uint64
-	id   string
+	id   uint64
 	// fixedParts says that all requests with the part have their other shared parts in common.
 	fixedParts bool
 	engines    []*engine
@@ -97,7 +94,7 @@
 	router    int
 	kind, key string
 	// parts are the ids of the shared parts of the prompt.
-	parts []string
+	parts []uint64
 	// begun says that the caller got the beginning of a response.
 	begun bool
 }
@@ -109,7 +106,7 @@
 	}
 	random := rand.New(rand.NewPCG(seed, firstCrashingPartSeed))
 	return &crashingPart{
-		seed: seed, id: strconv.FormatUint(random.Uint64(), 16), fixedParts: seed%2 == 1, outages: make(map[int][]interval),
+		seed: seed, id: random.Uint64(), fixedParts: seed%2 == 1, outages: make(map[int][]interval),
 	}
 }
 
@@ -240,7 +237,7 @@
 
 // isIn reports whether the prompt of a request contains the part.
 func (p *crashingPart) isIn(header http.Header) bool {
-	return slices.ContainsFunc(strings.Split(header.Get(headerPrefix), ","), func(part string) bool { return strings.HasPrefix(part, p.id+":") })
+	return slices.Contains(platform.SharedParts(header), p.id)
 }
 
 func (p *crashingPart) recordArrival(router int) {
@@ -277,31 +274,42 @@
 }
 
 // sharedParts returns the ids of the shared parts of a sound prompt.
-func (p *crashingPart) sharedParts(choice int) []string {
-	return []string{[]string{"a1", "a2"}[choice%2], []string{"b1", "b2"}[choice/2%2]}
+func (p *crashingPart) sharedParts(choice int) []uint64 {
+	return []uint64{uint64(0xa1 + choice%2), uint64(0xb1 + choice/2%2)}
 }
 
 // setPrompt sets the headers that describe a prompt with the given shared parts and a last part of its own.
-func setPrompt(header http.Header, request string, shared []string) {
+func setPrompt(header http.Header, request string, shared []uint64) {
+	const sharedTokens, ownTokens = 400, 100
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(request))
-	parts := make([]string, 0, len(shared)+1)
+	prompt := platform.Prompt{Tokens: ident.Tokens(sharedTokens*len(shared) + ownTokens), MaxOutput: eventCount}
 	for _, id := range shared {
-		parts = append(parts, id+":400")
+		prompt.Parts = append(prompt.Parts, platform.PromptPart{ID: id, Tokens: sharedTokens})
+	}
+	prompt.Parts = append(prompt.Parts, platform.PromptPart{ID: hash.Sum64(), Tokens: ownTokens})
+	platformtest.SetPrompt(header, prompt)
+}
+
+// comparesSound reports whether the sound requests that were sent until now suffice for checkSoundRequests, or maxCrashDuration is over.
+func (p *crashingPart) comparesSound(from, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(from) < crashDuration || len(p.crashes) == 0 {
+		return false
 	}
-	parts = append(parts, fmt.Sprintf("%x:100", hash.Sum64()))
-	header.Set(headerPrefix, strings.Join(parts, ","))
-	header.Set(headerTokens, fmt.Sprintf("%d,%d", 400*len(shared)+100, eventCount))
+	last := p.crashes[min(len(p.crashes), crashesToDetect)-1]
+	return now.Sub(last) > 2*recoveryBound+compareDuration || now.Sub(from) > maxCrashDuration
 }
 
-// sendCrashing sends requests with the part to random router instances until a time. Their other parts, their route and their key are
-// those of sound requests.
-func (e *environment) sendCrashing(until time.Time) {
+// sendCrashing sends requests with the part to random router instances, for crashDuration and until the sound requests suffice. Their
+// other parts, their route and their key are those of sound requests.
+func (e *environment) sendCrashing(from time.Time) {
 	random := rand.New(rand.NewPCG(e.part.seed, 1))
 	key := e.keys[0]
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	for count := 0; time.Now().Before(until); count++ {
+	for count := 0; !e.part.comparesSound(from, time.Now()); count++ {
 		shared := e.part.sharedParts(0)
 		if !e.part.fixedParts {
 			shared = e.part.sharedParts(random.IntN(4))
@@ -335,7 +343,7 @@
 	crashingFrom := time.Now()
 	var faults sync.WaitGroup
 	e.injectOutages(&faults)
-	e.sendCrashing(crashingFrom.Add(crashDuration))
+	e.sendCrashing(crashingFrom)
 	crashingUntil := time.Now()
 	faults.Wait()
 	e.part.restarts.Wait()
@@ -457,7 +465,7 @@
 
 // soundGroups returns the groups of sound requests that are compared; key is the key of the crashing requests.
 func (p *crashingPart) soundGroups(key string) []soundGroup {
-	firstParts := []string{p.sharedParts(0)[0]}
+	firstParts := []uint64{p.sharedParts(0)[0]}
 	if !p.fixedParts {
 		firstParts = append(firstParts, p.sharedParts(1)[0])
 	}
@@ -466,7 +474,7 @@
 		{"the key", func(r promptRequest) bool { return r.key == key }},
 	}
 	for _, part := range firstParts {
-		groups = append(groups, soundGroup{"the first part " + part, func(r promptRequest) bool { return r.parts[0] == part }})
+		groups = append(groups, soundGroup{fmt.Sprintf("the first part %x", part), func(r promptRequest) bool { return r.parts[0] == part }})
 	}
 	return groups
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -260,7 +260,7 @@
 		}
 		e.mu.Unlock()
 		e.recordSent(id, kind, router, key)
-		var shared []string
+		var shared []uint64
 		if e.part != nil {
 			shared = e.part.sharedParts(count / len(kinds))
 		}
@@ -296,7 +296,7 @@
 
 // send sends a request, with the headers that describe a prompt if the shared parts are given.
 func (e *environment) send(
-	transport *http.Transport, router *routerProcess, id, path, key string, shared []string,
+	transport *http.Transport, router *routerProcess, id, path, key string, shared []uint64,
 ) (status int, body []byte, complete bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeoutMS*time.Millisecond)
 	defer cancel()
