--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// TakeUnshared returns the losses that this instance has seen since the last call.
-func (s *SuspectList) TakeUnshared() []Loss {
+// Recent returns the losses that this instance has seen since the last call.
+func (s *SuspectList) Recent(_ time.Time) []Loss {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	losses := s.unshared
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		update := g.router.message()
-		update.Losses = g.router.suspects.TakeUnshared()
+		update.Losses = g.router.suspects.Recent(time.Now())
 		datagram, err := cbor.Marshal(update)
 		if err != nil || len(datagram) > maxMessageBytes {
 			g.router.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
