Losses are reported repeatedly to the other instances

Cause: each loss was in one datagram. Change: a loss is reported for 3 s; cleared losses are remembered, so that a repeated report does not count again.

--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -15,6 +15,9 @@
 	suspectTTL = 60 * time.Second
 	// maxSuspects bounds the length of a SuspectList; evict chooses the suspects that are dropped.
 	maxSuspects = 4096
+	// lossShareTime is for how long each loss is reported, in case a report is lost, and maxRecentLosses bounds a report.
+	lossShareTime   = 3 * time.Second
+	maxRecentLosses = 256
 )
 
 // Loss is the loss of a server while it ran the request with this digest.
@@ -39,15 +42,25 @@
 	onEvent func(SuspectEvent)
 	mu      sync.Mutex
 	entries map[uint64]*suspectEntry
-	// unshared holds the losses seen by this instance and not yet reported to others; guarded by mu.
-	unshared []Loss
+	// recent holds the losses seen by this instance in the last lossShareTime, the oldest first; guarded by mu.
+	recent []recentLoss
 }
 
 type suspectEntry struct {
+	// servers are the lost servers, in the order in which they became known. The first ones, as many as cleared says, do not count any
+	// more; they are kept because losses are reported repeatedly.
 	servers  []ident.Endpoint
+	cleared  int
 	lastLoss time.Time
 }
 
+func (e *suspectEntry) count() int { return len(e.servers) - e.cleared }
+
+type recentLoss struct {
+	Loss
+	at time.Time
+}
+
 // NewSuspectList returns an empty list. onEvent receives its changes, and must not block; nil drops them.
 func NewSuspectList(onEvent func(SuspectEvent)) *SuspectList {
 	if onEvent == nil {
@@ -61,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.entries[digest]
-	return entry != nil && len(entry.servers) >= lossLimit && now.Sub(entry.lastLoss) < suspectTTL
+	return entry != nil && entry.count() >= lossLimit && now.Sub(entry.lastLoss) < suspectTTL
 }
 
 // RecordLoss implements Suspects.
@@ -69,7 +82,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.add(now, Loss{Digest: digest, Server: server}, "loss_recorded")
-	s.unshared = append(s.unshared, Loss{Digest: digest, Server: server})
+	s.recent = append(s.recent, recentLoss{Loss{Digest: digest, Server: server}, now})
+	if len(s.recent) > maxRecentLosses {
+		s.recent = s.recent[1:]
+	}
 }
 
 // Merge adds losses that other router instances have seen.
@@ -96,7 +112,7 @@
 		}
 	}
 	entry.servers = append(entry.servers, loss.Server)
-	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: len(entry.servers)})
+	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: entry.count()})
 }
 
 // evict makes room for one entry if the list is full: it removes expired entries, and others in arbitrary order while the list
@@ -116,17 +132,22 @@
 func (s *SuspectList) Clear(digest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if entry := s.entries[digest]; entry != nil {
-		s.onEvent(SuspectEvent{Name: "losses_cleared", Digest: digest, Servers: len(entry.servers)})
-		delete(s.entries, digest)
+	if entry := s.entries[digest]; entry != nil && entry.count() > 0 {
+		s.onEvent(SuspectEvent{Name: "losses_cleared", Digest: digest, Servers: entry.count()})
+		entry.cleared = len(entry.servers)
 	}
 }
 
-// Recent returns the losses that this instance has seen since the last call.
-func (s *SuspectList) Recent(_ time.Time) []Loss {
+// Recent returns the losses that this instance has seen in the last lossShareTime. Merging them again changes nothing.
+func (s *SuspectList) Recent(now time.Time) []Loss {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	losses := s.unshared
-	s.unshared = nil
+	for len(s.recent) > 0 && now.Sub(s.recent[0].at) > lossShareTime {
+		s.recent = s.recent[1:]
+	}
+	losses := make([]Loss, len(s.recent))
+	for index, loss := range s.recent {
+		losses[index] = loss.Loss
+	}
 	return losses
 }
