--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -67,7 +67,7 @@
 		// No batch delay: pausing before the next long poll would let the known configuration grow more stale.
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
-		r.followTable(quarantineTable, serversPollTimeout(r.settings.Bounds), 0, r.applyVerdicts),
+		r.followTable(quarantineTable, verdictsPollTimeout, 0, r.applyVerdicts),
 		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts,
 	}
 	for _, loop := range loops {
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -19,6 +19,8 @@
 	// maxServersPollTimeout bounds a long poll for changes of servers. The store responds to a change at once. A longer timeout saves
 	// calls, but a dead connection is detected later.
 	maxServersPollTimeout = 5 * time.Second
+	// verdictsPollTimeout bounds a long poll for verdicts on prompt parts, which also come by gossip.
+	verdictsPollTimeout = 10 * time.Second
 	// minPollTimeout is the lower bound of a long poll's timeout, whatever the operator's bounds: a shorter timeout would only cause
 	// more calls.
 	minPollTimeout = 250 * time.Millisecond
