Listener: a response without chunks is complete once net/http has written it

Callers saw: an HTTP/1.0 response that lacked its last bytes, or over TLS any rest, ended in order, and so looked complete, if the listener was closed while it was written. Cause: the regular end of the connection was restored when the handler returned, but net/http writes the last bytes after that; and closing a TLS connection sends the alert that marks a regular end. Change: a connection stays one that ends with a reset until net/http closes it or makes it idle, which it does after its last write. Drain closes the connections with an incomplete response below TLS before it closes the server. Flushing in the handler was ruled out: it takes from short responses the Content-Length that net/http adds, and so their connections. Evidence: go test -race ./internal/process/listener: TestClosedBeforeLastBytes and TestEncryptedResponseClosed fail before, pass after; -count=30 without -race passes.

--- a/internal/process/listener/conn.go
+++ b/internal/process/listener/conn.go
@@ -34,6 +34,8 @@
 	net.Listener
 	timeout time.Duration
 	limits  func() Limits
+	// incomplete is shared by all connections.
+	incomplete *incompleteResponses
 }
 
 // Accept implements net.Listener.
@@ -42,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &deadlineConn{Conn: conn, timeout: l.timeout, limits: l.limits}, nil
+	return &deadlineConn{Conn: conn, timeout: l.timeout, limits: l.limits, incomplete: l.incomplete}, nil
 }
 
 type deadlineConn struct {
@@ -56,6 +58,10 @@
 	idleSince atomic.Pointer[time.Time]
 	// writeFailed is set by the first failed write and never cleared.
 	writeFailed atomic.Bool
+	// incomplete is nil if responses are not tracked.
+	incomplete *incompleteResponses
+	// handlerReturned means that the handler of the last request without chunks returned; net/http may still have bytes to write.
+	handlerReturned atomic.Bool
 }
 
 func (c *deadlineConn) setLinger(seconds int) {
@@ -65,6 +71,18 @@
 	}
 }
 
+// Close implements net.Conn. Once the handler has returned, net/http calls it after it has written the whole response.
+func (c *deadlineConn) Close() error {
+	c.endResponse()
+	return c.Conn.Close()
+}
+
+func (c *deadlineConn) endResponse() {
+	if c.incomplete != nil {
+		c.incomplete.end(c)
+	}
+}
+
 // Write implements net.Conn.
 func (c *deadlineConn) Write(data []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -28,6 +28,9 @@
 
 // trackState updates the phase of a connection; it is the server's ConnState hook.
 func trackState(conn net.Conn, state http.ConnState) {
+	if plain := plainConn(conn); plain != nil && state == http.StateIdle {
+		plain.endResponse()
+	}
 	tracked, ok := conn.(*deadlineConn)
 	if !ok {
 		return
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -51,6 +51,7 @@
 	done chan struct{}
 	// keepAlivesDisabled is never reset.
 	keepAlivesDisabled atomic.Bool
+	incomplete         *incompleteResponses
 }
 
 // Start listens and serves until Drain.
@@ -69,6 +70,7 @@
 	if config.WriteTimeout == 0 {
 		config.WriteTimeout = writeTimeout
 	}
+	incomplete := &incompleteResponses{conns: make(map[*deadlineConn]struct{})}
 	l := &Listener{
 		server: &http.Server{
 			TLSConfig:         config.TLS,
@@ -79,10 +81,11 @@
 			IdleTimeout:       config.IdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
-		socket: deadlineListener{Listener: socket, timeout: config.WriteTimeout, limits: config.Limits},
-		done:   make(chan struct{}),
+		socket:     deadlineListener{Listener: socket, timeout: config.WriteTimeout, limits: config.Limits, incomplete: incomplete},
+		done:       make(chan struct{}),
+		incomplete: incomplete,
 	}
-	l.server.Handler = resetIncomplete(l.closeAfterResponse(recoverPanics(config.Handler, config.OnPanic)))
+	l.server.Handler = incomplete.track(l.closeAfterResponse(recoverPanics(config.Handler, config.OnPanic)))
 	go l.serve()
 	return l, nil
 }
@@ -132,6 +135,7 @@
 // Drain stops accepting connections and waits for the requests in flight; when ctx is done, it closes all connections.
 func (l *Listener) Drain(ctx context.Context) {
 	if err := l.server.Shutdown(ctx); err != nil {
+		l.incomplete.closeAll()
 		_ = l.server.Close()
 	}
 	<-l.done
