Backend: pass on an error response that is declared as an event stream

Callers saw: an interruption instead of the error that their request had caused, if the backend sent it with the Content-Type of the stream that was asked for. Cause: the check for a stream that ends inside an event was made for each response with this Content-Type; an error response is JSON or plain text more often than events. Change: only successful responses (2xx) are checked.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -149,7 +149,9 @@
 func (b *Backend) copyResponse(response *http.Response, mode responseMode, writer ResponseWriter) (link.Usage, error) {
 	usage := link.Usage{Requests: 1}
 	var body io.Reader = response.Body
-	if eventstream.Is(response.Header) {
+	// Servers may declare the form that was asked for although an error response has another one.
+	successful := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if successful && eventstream.Is(response.Header) {
 		body = eventstream.NewReader(body)
 	}
 	if b.config.Kind == configuration.KindService {
