Backend: a JSON text without a length is complete only at the end of its value

Callers saw: half a completion as a complete response, if the backend's connection ended within a completion that it sent with neither a length nor chunks; a claim recorded it as the outcome. Cause: the end of the connection is the end of such a response, and its content was not checked unless it was an event stream. Change: the end of an unframed successful response of type application/json counts as an interruption if brackets or strings are open. The check needs no copy, so it covers completions over 64 MiB, too, and responses of services. It is no check for valid JSON: engines write NaN. Responses of other types, compressed ones and those with a length or chunks stay as they are.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -154,6 +154,9 @@
 	if successful && eventstream.Is(response.Header) {
 		body = eventstream.NewReader(body)
 	}
+	if successful && needsJSONCheck(response) {
+		body = &jsonReader{source: body}
+	}
 	if b.config.Kind == configuration.KindService {
 		return usage, copyBody(writer, body)
 	}
