Gateway: write no error event behind a part of an event

Callers saw: an event whose content was cut, completed by the blank line of the entry's error event, and took both for one event, if a stream broke off inside an event. Cause: the error event was written wherever the stream ended. Change: the relay tracks the caller's position with eventstream.Position, which the Reader uses, too, and aborts without an error event inside an event. Written bytes are flushed before each abort: the caller gets the whole events before the break.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -19,7 +19,12 @@
 // Reader reads an event stream and returns io.ErrUnexpectedEOF instead of io.EOF if the stream ends inside an event: an event is
 // complete only after a blank line.
 type Reader struct {
-	source io.Reader
+	source   io.Reader
+	position Position
+}
+
+// Position is where a stream ends so far; the zero value is its start.
+type Position struct {
 	// inLine means that the last byte read belongs to a line that has not ended.
 	inLine bool
 	// inEvent means that the last blank line was followed by another line, or by a part of one.
@@ -32,24 +37,32 @@
 // Read implements io.Reader.
 func (r *Reader) Read(buffer []byte) (int, error) {
 	n, err := r.source.Read(buffer)
-	for _, char := range buffer[:n] {
-		r.advance(char)
-	}
-	if err == io.EOF && r.inEvent {
+	r.position.Advance(buffer[:n])
+	if err == io.EOF && r.position.InEvent() {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-func (r *Reader) advance(char byte) {
+// Advance moves the position behind the next bytes of the stream.
+func (p *Position) Advance(content []byte) {
+	for _, char := range content {
+		p.advance(char)
+	}
+}
+
+// InEvent reports whether a part of an event precedes the position.
+func (p *Position) InEvent() bool { return p.inEvent }
+
+func (p *Position) advance(char byte) {
 	switch char {
 	case '\n':
-		r.inEvent = r.inEvent && r.inLine
-		r.inLine = false
+		p.inEvent = p.inEvent && p.inLine
+		p.inLine = false
 	case '\r':
 		// Part of the line end. It must not make a blank line count as one with content.
-		r.inEvent = true
+		p.inEvent = true
 	default:
-		r.inLine, r.inEvent = true, true
+		p.inLine, p.inEvent = true, true
 	}
 }
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"vanillapond/internal/connection/link"
+	"vanillapond/internal/eventstream"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/request/claim"
 	"vanillapond/internal/request/dispatch"
@@ -27,6 +28,8 @@
 	buffered []byte
 	// headWritten is set when the status and header were written to the caller.
 	headWritten bool
+	// position is that of the caller in an event stream.
+	position eventstream.Position
 }
 
 // run relays the response until its end; it returns a refusal only if nothing was written to the caller yet.
@@ -68,6 +71,7 @@
 		r.buffered = append(r.buffered, data...)
 		return nil
 	}
+	r.position.Advance(data)
 	if _, err := r.exchange.writer.Write(data); err != nil {
 		return err
 	}
@@ -116,8 +120,8 @@
 
 // abort returns the refusal, or if part of the response was already written, aborts the caller's connection.
 //
-// The caller of an event stream gets the error as a last event first. Without the abort, the caller could take a partial
-// response for a complete one.
+// The caller of an event stream gets the error as a last event first, unless it has got a part of an event, which the error would
+// complete. Without the abort, the caller could take a partial response for a complete one.
 func (r *relay) abort(failure *refusal.Error) *refusal.Error {
 	if r.exchange.keyWithdrawn() {
 		failure = withdrawnRefusal(failure.NotRun)
@@ -127,10 +131,11 @@
 	}
 	r.exchange.result.failure = failure
 	r.gateway.record("answer_cut", r.exchange, failure.Error())
-	if r.isEventStream() {
+	if r.isEventStream() && !r.position.InEvent() {
 		event := append([]byte("data: "), failure.Body(r.exchange.ID)...)
 		_, _ = r.exchange.writer.Write(append(event, '\n'))
-		_ = http.NewResponseController(r.exchange.writer).Flush()
 	}
+	// The abort discards what is not flushed.
+	_ = http.NewResponseController(r.exchange.writer).Flush()
 	panic(http.ErrAbortHandler)
 }
