Platform clients: a response cut at the size limit is no valid response

Callers saw: a commit or a usage report counted as done, or as failed its checks, and a table as listed, by a response of which the client had read a part only. Cause: io.LimitReader ends like the response itself at its limit. The size limit of platformclient can be set, so that its test needs not read 64 MiB for each call (20 s with -race).

--- a/internal/connection/platformclient/platformclient.go
+++ b/internal/connection/platformclient/platformclient.go
@@ -6,25 +6,27 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/samber/oops"
 
+	"vanillapond/internal/bounded"
 	"vanillapond/internal/process/platform"
 	"vanillapond/internal/process/table"
 	"vanillapond/pkg/ident"
 )
 
-// maxResponseSize is the maximum size of a response of the platform, in bytes.
-const maxResponseSize = 64 << 20
+// DefaultMaxResponseSize is the default limit on the size of a response of the platform, in bytes.
+const DefaultMaxResponseSize = 64 << 20
 
 // Client calls all of the platform's services at one base address.
 type Client struct {
 	base    string
 	process ident.Process
 	http    *http.Client
+	// maxResponseSize is in bytes.
+	maxResponseSize int64
 }
 
 // Config configures a client.
@@ -35,6 +37,8 @@
 	Process ident.Process
 	// Timeout bounds each call; 0 means one second.
 	Timeout time.Duration
+	// MaxResponseSize limits the size of a response, in bytes; 0 means DefaultMaxResponseSize.
+	MaxResponseSize int64
 }
 
 // New returns a client.
@@ -42,7 +46,12 @@
 	if config.Timeout == 0 {
 		config.Timeout = time.Second
 	}
-	return &Client{base: config.Base, process: config.Process, http: &http.Client{Timeout: config.Timeout}}
+	if config.MaxResponseSize == 0 {
+		config.MaxResponseSize = DefaultMaxResponseSize
+	}
+	return &Client{
+		base: config.Base, process: config.Process, http: &http.Client{Timeout: config.Timeout}, maxResponseSize: config.MaxResponseSize,
+	}
 }
 
 // Read implements table.Table.
@@ -76,7 +85,9 @@
 func (c *Client) Send(ctx context.Context, order platform.Order, gate platform.Gate) error {
 	dialer := &gatedDialer{gate: gate}
 	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true}
-	client := &Client{base: c.base, process: c.process, http: &http.Client{Timeout: c.http.Timeout, Transport: transport}}
+	client := &Client{
+		base: c.base, process: c.process, http: &http.Client{Timeout: c.http.Timeout, Transport: transport}, maxResponseSize: c.maxResponseSize,
+	}
 	err := client.post(ctx, platform.PathOrders, order, nil)
 	if errors.Is(err, table.ErrOutcomeUnknown) && !dialer.written.Load() {
 		return oops.Wrapf(table.ErrRefused, "order %s: %v", order.ID, err)
@@ -128,7 +139,7 @@
 	return c.call(ctx, http.MethodPost, path, body, result)
 }
 
-// call returns table.ErrOutcomeUnknown if the request may have had an effect.
+// call returns table.ErrOutcomeUnknown if the request may have had an effect; so it does for a truncated response, whatever its status.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, result any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -141,7 +152,7 @@
 		return oops.Wrapf(table.ErrOutcomeUnknown, "%s: %v", path, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize))
+	content, err := bounded.ReadAll(response.Body, c.maxResponseSize)
 	if err != nil {
 		return oops.Wrapf(table.ErrOutcomeUnknown, "%s: %v", path, err)
 	}
--- a/internal/connection/platformclient/truncated_test.go
+++ b/internal/connection/platformclient/truncated_test.go
@@ -48,7 +48,9 @@
 				}
 			}))
 			t.Cleanup(server.Close)
-			client := platformclient.New(platformclient.Config{Base: server.URL, Process: "p", Timeout: time.Minute})
+			client := platformclient.New(platformclient.Config{
+				Base: server.URL, Process: "p", Timeout: 10 * time.Second, MaxResponseSize: 1 << 20,
+			})
 			is.True(errors.Is(client.Commit(t.Context(), table.Transaction{}), table.ErrOutcomeUnknown))
 			is.True(errors.Is(client.Send(t.Context(), platform.Order{ID: "d1.1"}, func() error { return nil }), table.ErrOutcomeUnknown))
 			is.True(errors.Is(client.Report(t.Context(), platform.Report{}), table.ErrOutcomeUnknown))
