--- a/internal/process/quarantine/model_test.go
+++ b/internal/process/quarantine/model_test.go
@@ -116,7 +116,7 @@
 	massCrashAt    time.Duration
 	otherCrashRate float64
 	maxSkew        time.Duration
-	end            time.Duration
+	attackEnd, end time.Duration
 }
 
 func newModelWorld(seed uint64, random *rand.Rand) modelWorld {
@@ -157,9 +157,10 @@
 	if oneIn(3) {
 		w.maxSkew = 500 * time.Millisecond
 	}
-	w.end = modelEnd
+	w.attackEnd, w.end = modelAttackEnd, modelEnd
 	if seed%8 == 4 {
-		w.end, w.soundRate, w.otherCrashRate = modelLongEnd, min(w.soundRate, 20), max(w.otherCrashRate, 0.3)
+		w.attackEnd, w.end = modelLongEnd-(modelEnd-modelAttackEnd), modelLongEnd
+		w.soundRate, w.otherCrashRate = min(w.soundRate, 20), max(w.otherCrashRate, 0.3)
 	}
 	return w
 }
@@ -271,7 +272,7 @@
 		attackStart = 0
 	}
 	for number := range m.crashingParts {
-		m.traffic(m.crashRate, attackStart, modelAttackEnd, func() { m.sendCrashing(modelCrashing + Part(number)) })
+		m.traffic(m.crashRate, attackStart, m.attackEnd, func() { m.sendCrashing(modelCrashing + Part(number)) })
 	}
 	if m.otherCrashRate > 0 {
 		m.traffic(m.otherCrashRate, 0, m.end, func() { m.crash(m.serverFleet[m.random.IntN(m.servers)], 0) })
@@ -665,7 +666,7 @@
 	}
 	total, admitted := 0, 0
 	for _, arrival := range m.arrivals {
-		if arrival.at > from && arrival.at < modelAttackEnd {
+		if arrival.at > from && arrival.at < m.attackEnd {
 			total++
 			if arrival.admitted {
 				admitted++
