Quarantine: trials that show nothing do not count, reports are dated, and a cleared part's crashes are reconsidered

Cause, from the model: a trial that found no server, or whose server crashed under another part, used up one of two trials, so that a sound part stayed quarantined; a completion was applied again with each repeated report, to later crashes, too; crashes that a cleared part had explained counted against nothing; crashes were never dropped while their part was seen. A trial also waits up to 3 s for a request without other suspected parts.

--- a/internal/process/quarantine/admit.go
+++ b/internal/process/quarantine/admit.go
@@ -18,8 +18,8 @@
 
 // Admit decides on a request with these parts.
 //
-// A trial holds only one quarantined part. Each quarantine has at most maxTrials of them; after these, the part stays quarantined for
-// as long as requests with it arrive.
+// A trial holds only one quarantined part, and at first no other part that may be the cause of crashes. Each quarantine has at most
+// maxTrials that show something; after these, the part stays quarantined for as long as requests with it arrive.
 func (r *Registry) Admit(now time.Time, parts []Part) Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -32,23 +32,74 @@
 	}
 	part := quarantined[0]
 	e := r.entries[part]
-	if len(quarantined) == 1 && e.verdict.Trials < maxTrials && !now.Before(e.nextTrial) && r.config.OwnsTrials(part) {
+	if len(quarantined) == 1 && !now.Before(e.nextTrial) && r.config.OwnsTrials(part) && r.mayTry(now, e, parts) {
 		delay := firstTrialDelay
-		for range e.verdict.Trials + 1 {
+		for range e.usedTrials() + 1 {
 			delay *= trialDelayFactor
 		}
-		e.nextTrial = now.Add(delay)
+		e.nextTrial, e.trialAt, e.trialCrash = now.Add(delay), now, Server{}
 		e.verdict.Trials++
 		r.decide(now, e, e.verdict, "part_trial", false)
 		return Decision{Admitted: true, Trial: true, Part: part}
 	}
 	retryAfter := quarantineTTL
-	if e.verdict.Trials < maxTrials {
+	if e.usedTrials() < maxTrials {
 		retryAfter = max(e.nextTrial.Sub(now), firstTrialDelay)
 	}
 	return Decision{Part: part, RetryAfter: retryAfter}
 }
 
+// mayTry reports whether the quarantined part has a trial left and a request with these parts may be it; the caller holds mu.
+func (r *Registry) mayTry(now time.Time, e *entry, parts []Part) bool {
+	if r.wasted(e) {
+		e.trialAt = time.Time{}
+		e.wastedTrials++
+	}
+	if e.usedTrials() >= maxTrials {
+		return false
+	}
+	return now.Sub(e.nextTrial) >= maxCleanTrialWait || !slices.ContainsFunc(parts, func(part Part) bool {
+		return part != e.verdict.Part && r.crashedSinceCompleted(part)
+	})
+}
+
+// usedTrials returns the number of trials in this quarantine that were not wasted, as far as this instance knows.
+func (e *entry) usedTrials() int { return e.verdict.Trials - e.wastedTrials }
+
+// wasted reports whether the last trial neither completed nor crashed its server, or another quarantined part explains that crash. The
+// caller holds mu.
+func (r *Registry) wasted(e *entry) bool {
+	if e.trialAt.IsZero() {
+		return false
+	}
+	return e.trialCrash == Server{} || r.otherExplains(e, e.trialCrash)
+}
+
+// otherExplains reports whether another quarantined part explains the crash of a server; the caller holds mu.
+func (r *Registry) otherExplains(e *entry, server Server) bool {
+	for _, other := range r.entries {
+		if _, found := other.crashes[server]; found && other != e && other.verdict.Quarantined {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedSinceCompleted reports whether a server crashed under a part and no request with it has completed since; the caller holds mu.
+func (r *Registry) crashedSinceCompleted(part Part) bool {
+	e := r.entries[part]
+	if e == nil {
+		return false
+	}
+	completedAt := r.completed.last(part)
+	for _, known := range e.crashes {
+		if known.at.After(completedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Quarantines reports whether a request with these parts must not be sent to a further server.
 func (r *Registry) Quarantines(parts []Part) bool {
 	r.mu.Lock()
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -36,6 +36,8 @@
 	// firstTrialDelay is the time from the quarantine to the first trial; each further one waits trialDelayFactor times as long.
 	firstTrialDelay  = time.Second
 	trialDelayFactor = 3
+	// maxCleanTrialWait is how long a trial waits for a request without other parts under which servers crashed.
+	maxCleanTrialWait = 3 * time.Second
 	// maxEntries bounds the parts that are tracked.
 	maxEntries = 4096
 )
@@ -122,6 +124,15 @@
 	verdict Verdict
 	// nextTrial is when the next trial may begin; only valid while the part is quarantined.
 	nextTrial time.Time
+	// since is when the part was quarantined here, and foundHere means that this instance decided so; only valid while it is.
+	since     time.Time
+	foundHere bool
+	// trialAt is when the last trial began; zero if there was none, or it is known to have been wasted.
+	trialAt time.Time
+	// trialCrash is the first server that crashed under the part since then.
+	trialCrash Server
+	// wastedTrials is the number of trials that showed nothing.
+	wastedTrials int
 	// lastSeen is when the last crash was recorded, or when the last request with the quarantined part arrived at any instance.
 	lastSeen time.Time
 }
@@ -159,11 +170,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unshared.addCrash(now, server, parts)
-	r.addCrash(now, server, parts, false)
+	r.addCrash(now, now, server, parts, false)
 }
 
 // addCrash counts a crash against the parts, and quarantines those that reach the limit; the caller holds mu.
-func (r *Registry) addCrash(now time.Time, server Server, parts []Part, fromPeer bool) {
+func (r *Registry) addCrash(now, at time.Time, server Server, parts []Part, fromPeer bool) {
 	isQuarantined := func(part Part) bool { return r.entries[part] != nil && r.entries[part].verdict.Quarantined }
 	if slices.ContainsFunc(parts, isQuarantined) {
 		r.explain(now, server)
@@ -174,8 +185,11 @@
 		if _, found := e.crashes[server]; found {
 			continue
 		}
-		e.crashes[server] = crash{at: now, counts: !explained || e.verdict.Quarantined}
+		e.crashes[server] = crash{at: at, counts: e.verdict.Quarantined || !explained && !at.Before(r.completed.last(part))}
 		e.lastSeen = now
+		if !e.trialAt.IsZero() && e.trialCrash == (Server{}) && !at.Before(e.trialAt) {
+			e.trialCrash = server
+		}
 		if count := e.count(now); count >= suspectCrashes {
 			r.config.OnEvent(Event{Name: "part_suspected", Verdict: e.verdict, Server: server, Crashes: count, FromPeer: fromPeer})
 		}
@@ -195,7 +209,7 @@
 				continue
 			}
 			count := e.count(now)
-			if count < r.limit(part) || count < most {
+			if !r.reachesLimit(now, e) || count < most {
 				continue
 			}
 			if count > most {
@@ -217,17 +231,19 @@
 	}
 }
 
-func (r *Registry) limit(part Part) int {
-	if r.completed.contains(part) {
-		return completedCrashLimit
+// reachesLimit reports whether enough servers crashed under a part for a quarantine; the caller holds mu.
+func (r *Registry) reachesLimit(now time.Time, e *entry) bool {
+	if r.completed.contains(e.verdict.Part) {
+		return e.count(now) >= completedCrashLimit
 	}
-	return crashLimit
+	return e.count(now) >= crashLimit
 }
 
 // quarantine begins the quarantine of a part; the caller holds mu.
 func (r *Registry) quarantine(now time.Time, part Part) {
 	e := r.entries[part]
 	e.nextTrial = now.Add(firstTrialDelay)
+	e.since, e.foundHere, e.trialAt, e.wastedTrials = now, true, time.Time{}, 0
 	r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now), Quarantined: true}, "part_quarantined", false)
 }
 
@@ -247,31 +263,57 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, part := range parts {
-		r.completed.add(now, part)
+		r.completed.add(now, now, part)
 		if e := r.entries[part]; e != nil && (e.verdict.Quarantined || e.count(now) > 0) {
 			r.unshared.addCompleted(now, part)
-			r.clear(now, part)
+			r.clear(now, now, part)
 		}
 	}
 }
 
-// clear ends the suspicion of a part, and its quarantine if there is one; the caller holds mu.
-func (r *Registry) clear(now time.Time, part Part) {
+// clear ends the suspicion of a part by crashes up to the time at which a request with it completed, and its quarantine unless that began
+// later for other crashes. The caller holds mu.
+func (r *Registry) clear(now, completedAt time.Time, part Part) {
 	e := r.entries[part]
 	if e == nil {
 		return
 	}
-	e.forgive()
-	if e.verdict.Quarantined {
+	e.forgive(completedAt)
+	outdated := completedAt.Before(e.since) && (!e.foundHere || r.reachesLimit(now, e))
+	if e.verdict.Quarantined && !outdated {
 		r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now)}, "part_cleared", false)
+		r.reconsider(now, e)
+	}
+}
+
+// reconsider counts the crashes that only the quarantine of a cleared part explained against the other parts again. The caller holds mu.
+func (r *Registry) reconsider(now time.Time, cleared *entry) {
+	var parts []Part
+	for server := range cleared.crashes {
+		if r.otherExplains(cleared, server) {
+			continue
+		}
+		delete(r.explained, server)
+		for part, e := range r.entries {
+			if known, found := e.crashes[server]; found && e != cleared && known.at.After(r.completed.last(part)) {
+				known.counts = true
+				e.crashes[server] = known
+				if !slices.Contains(parts, part) {
+					parts = append(parts, part)
+				}
+			}
+		}
 	}
+	r.quarantineWorst(now, parts)
 }
 
-// forgive makes no recorded crash count any more.
-func (e *entry) forgive() {
+// forgive makes the crashes up to a time count no longer.
+func (e *entry) forgive(until time.Time) {
 	for server, known := range e.crashes {
-		known.counts = false
-		e.crashes[server] = known
+		if !known.at.After(until) {
+			known.counts = false
+			e.crashes[server] = known
+		}
 	}
 }
 
@@ -323,6 +365,7 @@
 // expire removes what no longer counts; the caller holds mu.
 func (r *Registry) expire(now time.Time) {
 	for part, e := range r.entries {
+		maps.DeleteFunc(e.crashes, func(_ Server, known crash) bool { return now.Sub(known.at) > crashTTL })
 		idle := now.Sub(e.lastSeen)
 		switch {
 		case e.verdict.Quarantined && idle > quarantineTTL:
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -121,6 +121,67 @@
 	is.True(r.Admit(now, []quarantine.Part{crashedPart}).Admitted)
 }
 
+// TestTrialWithoutResult verifies that a sound part is released although its first trials did not reach a server.
+func TestTrialWithoutResult(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 3, soundPart)
+	now, trials := start, 0
+	for trials < 5 {
+		now = now.Add(time.Second)
+		is.True(now.Before(start.Add(time.Minute)))
+		if r.Admit(now, []quarantine.Part{soundPart}).Trial {
+			trials++
+		}
+	}
+	r.RecordRun(now, []quarantine.Part{soundPart})
+	is.True(!r.Quarantines([]quarantine.Part{soundPart}))
+}
+
+// TestTrialWithSuspectedPart verifies that a trial waits for a request whose other parts are not suspected.
+func TestTrialWithSuspectedPart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 3, soundPart)
+	r.RecordCrash(start, server(0), []quarantine.Part{crashedPart})
+	now := start.Add(time.Second)
+	is.True(!r.Admit(now, []quarantine.Part{soundPart, crashedPart}).Admitted)
+	is.True(r.Admit(now, []quarantine.Part{soundPart, systemPart}).Trial)
+}
+
+// TestRepeatedCompletion verifies that a completed request clears no crash that came after it, however often it is reported.
+func TestRepeatedCompletion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := quarantine.New(quarantine.Config{}), quarantine.New(quarantine.Config{})
+	crashUnder(a, 0, 1, crashedPart)
+	b.Merge(start, a.Report(start))
+	a.RecordRun(start, []quarantine.Part{crashedPart})
+	now := start
+	for number := range 6 {
+		now = now.Add(200 * time.Millisecond)
+		b.Merge(now, a.Report(now))
+		b.RecordCrash(now, server(1+number), []quarantine.Part{crashedPart})
+	}
+	b.Merge(now, a.Report(now))
+	is.True(b.Quarantines([]quarantine.Part{crashedPart}))
+}
+
+// TestCrashesOfClearedPart verifies that crashes which a quarantine explained count against the other parts once it is cleared.
+func TestCrashesOfClearedPart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 1, soundPart)
+	crashUnder(r, 1, 3, soundPart, crashedPart)
+	is.True(!r.Quarantines([]quarantine.Part{crashedPart}))
+	r.RecordRun(start.Add(time.Second), []quarantine.Part{soundPart})
+	is.True(!r.Quarantines([]quarantine.Part{soundPart}))
+	is.True(r.Quarantines([]quarantine.Part{crashedPart}))
+}
+
 // TestTrialsHaveOneOwner verifies that an instance which does not make the trials admits none.
 func TestTrialsHaveOneOwner(t *testing.T) {
 	t.Parallel()
@@ -261,7 +322,7 @@
 		p := quarantine.Part(part)
 		report := quarantine.Report{
 			Crashes:   []quarantine.CrashReport{{Server: quarantine.Server{ID: ident.Endpoint(id), StartedUnixMS: started}, Parts: []quarantine.Part{p, p}}},
-			Completed: []quarantine.Part{p},
+			Completed: []quarantine.CompletedReport{{Part: p}},
 			Verdicts: []quarantine.VerdictReport{{
 				Verdict: quarantine.Verdict{Part: p, Sequence: sequence, Quarantined: quarantined, Trials: int(sequence)}, SeenMS: seen,
 			}},
--- a/internal/process/quarantine/recent.go
+++ b/internal/process/quarantine/recent.go
@@ -10,21 +10,24 @@
 	maxGenerationParts = 8192
 )
 
-// recentParts remembers parts for one to two rotation intervals, or less if there are many. It keeps two generations.
+// recentParts remembers when it last got each part, for one to two rotation intervals, or less if there are many. It keeps two generations.
 type recentParts struct {
-	current, previous map[Part]struct{}
+	current, previous map[Part]time.Time
 	startedAt         time.Time
 }
 
-func (r *recentParts) add(now time.Time, part Part) {
+// add adds a part at a time that is not after now.
+func (r *recentParts) add(now, at time.Time, part Part) {
 	if r.current == nil || len(r.current) >= maxGenerationParts {
 		r.begin(now)
 	}
-	r.current[part] = struct{}{}
+	if at.After(r.last(part)) {
+		r.current[part] = at
+	}
 }
 
 func (r *recentParts) begin(now time.Time) {
-	r.previous, r.current, r.startedAt = r.current, make(map[Part]struct{}), now
+	r.previous, r.current, r.startedAt = r.current, make(map[Part]time.Time), now
 }
 
 // rotate begins a generation if the current one is old.
@@ -34,10 +37,12 @@
 	}
 }
 
-func (r *recentParts) contains(part Part) bool {
-	_, found := r.current[part]
-	if !found {
-		_, found = r.previous[part]
+func (r *recentParts) contains(part Part) bool { return !r.last(part).IsZero() }
+
+// last returns the time of a part, or the zero time.
+func (r *recentParts) last(part Part) time.Time {
+	if at, found := r.current[part]; found {
+		return at
 	}
-	return found
+	return r.previous[part]
 }
--- a/internal/process/quarantine/share.go
+++ b/internal/process/quarantine/share.go
@@ -22,6 +22,14 @@
 type CrashReport struct {
 	Server Server `cbor:"1,keyasint"`
 	Parts  []Part `cbor:"2,keyasint"`
+	// AgeMS is how long ago the crash was recorded, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// CompletedReport is a suspected part and how long ago a request with it completed, in milliseconds.
+type CompletedReport struct {
+	Part  Part  `cbor:"1,keyasint"`
+	AgeMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // VerdictReport is a verdict and how long ago the last request with the part arrived, in milliseconds.
@@ -42,20 +50,29 @@
 type Report struct {
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
 	// Completed are the suspected parts with which a request has completed.
-	Completed []Part          `cbor:"2,keyasint,omitempty"`
-	Verdicts  []VerdictReport `cbor:"3,keyasint,omitempty"`
+	Completed []CompletedReport `cbor:"2,keyasint,omitempty"`
+	Verdicts  []VerdictReport   `cbor:"3,keyasint,omitempty"`
 }
 
-// Check returns an error if a list is longer than an instance sends it, or holds an invalid verdict.
+// Check returns an error if a list is longer than an instance sends it, or holds an invalid verdict or age.
 func (r Report) Check() error {
 	for _, verdict := range r.Verdicts {
 		if err := verdict.Check(); err != nil {
 			return err
 		}
 	}
-	parts := 0
+	ages, parts := make([]int64, 0, len(r.Crashes)+len(r.Completed)), 0
 	for _, crash := range r.Crashes {
 		parts += len(crash.Parts)
+		ages = append(ages, crash.AgeMS)
+	}
+	for _, completed := range r.Completed {
+		ages = append(ages, completed.AgeMS)
+	}
+	for _, age := range ages {
+		if age < 0 || age > maxSeen.Milliseconds() {
+			return oops.Errorf("quarantine report: found an age of %d ms, want 0 to %d", age, maxSeen.Milliseconds())
+		}
 	}
 	if len(r.Crashes) > maxSharedCrashes || parts > maxSharedParts || len(r.Completed) > maxSharedParts || len(r.Verdicts) > maxSharedVerdicts {
 		return oops.Errorf("quarantine report: found %d crashes with %d parts, %d completed parts and %d verdicts, want at most %d, %d, %d and %d",
@@ -76,7 +93,7 @@
 }
 
 func (u *unshared) addCrash(now time.Time, server Server, parts []Part) {
-	u.crashes = append(u.crashes, timed[CrashReport]{now, CrashReport{server, parts}})
+	u.crashes = append(u.crashes, timed[CrashReport]{now, CrashReport{Server: server, Parts: parts}})
 }
 
 func (u *unshared) addCompleted(now time.Time, part Part) {
@@ -101,19 +118,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unshared.trim(now)
-	return Report{Crashes: r.sharedCrashes(), Completed: r.sharedCompleted(), Verdicts: r.sharedVerdicts(now)}
+	return Report{Crashes: r.sharedCrashes(now), Completed: r.sharedCompleted(now), Verdicts: r.sharedVerdicts(now)}
 }
 
 // sharedCrashes returns one report for each server, the newest crashes first. It leaves out parts with which a request has completed
 // recently where there is no room for all. The caller holds mu.
-func (r *Registry) sharedCrashes() []CrashReport {
+func (r *Registry) sharedCrashes(now time.Time) []CrashReport {
 	var reports []CrashReport
 	position := make(map[Server]int)
 	sent := make(map[Server]map[Part]bool)
 	total := 0
 	for _, completed := range []bool{false, true} {
 		for index := len(r.unshared.crashes) - 1; index >= 0; index-- {
-			crash := r.unshared.crashes[index].value
+			recorded := r.unshared.crashes[index]
+			crash, age := recorded.value, now.Sub(recorded.at).Milliseconds()
 			for _, part := range crash.Parts {
 				if total == maxSharedParts || r.completed.contains(part) != completed || sent[crash.Server][part] {
 					continue
@@ -124,7 +142,7 @@
 						continue
 					}
 					at = len(reports)
-					reports = append(reports, CrashReport{Server: crash.Server})
+					reports = append(reports, CrashReport{Server: crash.Server, AgeMS: age})
 					position[crash.Server], sent[crash.Server] = at, make(map[Part]bool)
 				}
 				reports[at].Parts = append(reports[at].Parts, part)
@@ -137,16 +155,16 @@
 }
 
 // sharedCompleted returns the completed parts, the newest first; the caller holds mu.
-func (r *Registry) sharedCompleted() []Part {
-	var parts []Part
+func (r *Registry) sharedCompleted(now time.Time) []CompletedReport {
+	var reports []CompletedReport
 	seen := make(map[Part]bool)
-	for index := len(r.unshared.completed) - 1; index >= 0 && len(parts) < maxSharedParts; index-- {
-		if part := r.unshared.completed[index].value; !seen[part] {
-			seen[part] = true
-			parts = append(parts, part)
+	for index := len(r.unshared.completed) - 1; index >= 0 && len(reports) < maxSharedParts; index-- {
+		if completed := r.unshared.completed[index]; !seen[completed.value] {
+			seen[completed.value] = true
+			reports = append(reports, CompletedReport{Part: completed.value, AgeMS: now.Sub(completed.at).Milliseconds()})
 		}
 	}
-	return parts
+	return reports
 }
 
 // sharedVerdicts returns the verdicts, those on quarantined parts first; the caller holds mu.
@@ -162,19 +180,24 @@
 	return reports
 }
 
+func ago(now time.Time, ageMS int64) time.Time {
+	return now.Add(-time.Duration(ageMS) * time.Millisecond)
+}
+
 // Merge applies the report of another instance.
 func (r *Registry) Merge(now time.Time, report Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, verdict := range report.Verdicts {
-		r.mergeVerdict(now, verdict.Verdict, now.Add(-time.Duration(verdict.SeenMS)*time.Millisecond))
+		r.mergeVerdict(now, verdict.Verdict, ago(now, verdict.SeenMS))
 	}
 	for _, crash := range report.Crashes {
-		r.addCrash(now, crash.Server, crash.Parts, true)
+		r.addCrash(now, ago(now, crash.AgeMS), crash.Server, crash.Parts, true)
 	}
-	for _, part := range report.Completed {
-		r.completed.add(now, part)
-		r.clear(now, part)
+	for _, completed := range report.Completed {
+		at := ago(now, completed.AgeMS)
+		r.completed.add(now, at, completed.Part)
+		r.clear(now, at, completed.Part)
 	}
 }
 
@@ -202,15 +225,20 @@
 	e.nextTrial = now.Add(firstTrialDelay)
 	switch {
 	case verdict.Quarantined && !before.Quarantined:
+		e.since, e.foundHere, e.trialAt, e.wastedTrials = now, false, time.Time{}, 0
 		r.decide(now, e, verdict, "part_quarantined", true)
 		for server := range e.crashes {
 			r.explain(now, server)
 		}
 	case verdict.Quarantined:
+		if verdict.Trials > before.Trials {
+			e.trialAt, e.trialCrash = now, Server{}
+		}
 		r.decide(now, e, verdict, "part_trial", true)
 	case before.Quarantined:
-		e.forgive()
+		e.forgive(now)
 		r.decide(now, e, verdict, "part_cleared", true)
+		r.reconsider(now, e)
 	default:
 		e.verdict = verdict
 	}
