Quarantine: servers that crash together count once against a completed part

Cause: a crash of all servers put the part that all requests hold into quarantine, so that all requests were refused until a trial.

--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -27,6 +27,9 @@
 	// suspectCrashes is the number of crashes from which on each one is reported as an event: one crash concerns all requests that the
 	// server had.
 	suspectCrashes = 2
+	// burstTime is the time within which crashes under a completed part count as one: servers that crash together have another cause,
+	// and each of them was running requests with the parts that most requests hold.
+	burstTime = 100 * time.Millisecond
 	// crashTTL is how long a crash counts.
 	crashTTL = time.Minute
 	// quarantineTTL is how long a quarantine lasts after the last request with the part.
@@ -234,11 +237,31 @@
 // reachesLimit reports whether enough servers crashed under a part for a quarantine; the caller holds mu.
 func (r *Registry) reachesLimit(now time.Time, e *entry) bool {
 	if r.completed.contains(e.verdict.Part) {
-		return e.count(now) >= completedCrashLimit
+		return e.countBursts(now) >= completedCrashLimit
 	}
 	return e.count(now) >= crashLimit
 }
 
+// countBursts returns the number of crashes that count now, where those within burstTime of the one before are one.
+func (e *entry) countBursts(now time.Time) int {
+	var times []time.Time
+	for _, crash := range e.crashes {
+		if crash.counts && now.Sub(crash.at) < crashTTL {
+			times = append(times, crash.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	bursts := 0
+	var last time.Time
+	for _, at := range times {
+		if bursts == 0 || at.Sub(last) >= burstTime {
+			bursts++
+			last = at
+		}
+	}
+	return bursts
+}
+
 // quarantine begins the quarantine of a part; the caller holds mu.
 func (r *Registry) quarantine(now time.Time, part Part) {
 	e := r.entries[part]
