Quarantine: completions count as of their begin, trials that no server got are free

Callers saw: (model) sound parts refused for long after servers crashed together, and more requests than allowed with a part that crashes servers only from some moment on. Cause: a request that began before that moment and completed after a crash cleared the part; a trial that no server got was used up, one whose server's crash goes unnoticed was repeated without bound. Change: RecordRun gets the time at which the request was sent; forward cancels a trial that reached no server, sends it to one only, and at most four trials reach servers, three of them later than 3 s after the quarantine. A part with which requests completed is quarantined at four crashes, not six: TestCompletedPart follows; the limit is stricter. TestTrialWithoutResult says to the registry now that its trials reached no server.

--- a/internal/process/quarantine/admit.go
+++ b/internal/process/quarantine/admit.go
@@ -34,7 +34,7 @@
 	e := r.entries[part]
 	if len(quarantined) == 1 && !now.Before(e.nextTrial) && r.config.OwnsTrials(part) && r.mayTry(now, e, parts) {
 		delay := firstTrialDelay
-		for range e.usedTrials() + 1 {
+		for range e.sentTrials() + 1 {
 			delay *= trialDelayFactor
 		}
 		e.nextTrial, e.trialAt, e.trialCrash = now.Add(delay), now, Server{}
@@ -43,7 +43,7 @@
 		return Decision{Admitted: true, Trial: true, Part: part}
 	}
 	retryAfter := quarantineTTL
-	if e.usedTrials() < maxTrials {
+	if e.usedTrials() < maxTrials && e.sentTrials() < maxSentTrials {
 		retryAfter = max(e.nextTrial.Sub(now), firstTrialDelay)
 	}
 	return Decision{Part: part, RetryAfter: retryAfter}
@@ -55,7 +55,7 @@
 		e.trialAt = time.Time{}
 		e.wastedTrials++
 	}
-	if e.usedTrials() >= maxTrials {
+	if e.usedTrials() >= maxTrials || e.sentTrials() >= maxSentTrials {
 		return false
 	}
 	return now.Sub(e.nextTrial) >= maxCleanTrialWait || !slices.ContainsFunc(parts, func(part Part) bool {
@@ -63,8 +63,22 @@
 	})
 }
 
-// usedTrials returns the number of trials in this quarantine that were not wasted, as far as this instance knows.
-func (e *entry) usedTrials() int { return e.verdict.Trials - e.wastedTrials }
+// CancelTrial records that the last trial of a part did not reach a server.
+func (r *Registry) CancelTrial(now time.Time, part Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[part]; e != nil && e.verdict.Quarantined && !e.trialAt.IsZero() {
+		e.trialAt = time.Time{}
+		e.unsentTrials++
+		e.nextTrial = now.Add(firstTrialDelay)
+	}
+}
+
+// sentTrials returns the number of trials in this quarantine that reached a server, and usedTrials that of those which showed something,
+// as far as this instance knows.
+func (e *entry) sentTrials() int { return e.verdict.Trials - e.unsentTrials }
+
+func (e *entry) usedTrials() int { return e.sentTrials() - e.wastedTrials }
 
 // wasted reports whether the last trial neither completed nor crashed its server, or another quarantined part explains that crash. The
 // caller holds mu.
--- a/internal/process/quarantine/model_test.go
+++ b/internal/process/quarantine/model_test.go
@@ -23,7 +23,7 @@
 )
 
 // modelCISeeds are the seeds of CI: a range, and some that each found a fault.
-var modelCISeeds = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 70, 72, 241, 297, 349}
+var modelCISeeds = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 70, 72, 241, 262, 297, 343, 349, 612, 625, 921, 972}
 
 // seedsOfModel returns the seeds to run.
 func seedsOfModel() []uint64 {
@@ -192,8 +192,10 @@
 	start    int
 	parts    []Part
 	crashing Part
-	trial    bool
-	attempts int
+	// trial means that the request was admitted as a trial of trialPart.
+	trial     bool
+	trialPart Part
+	attempts  int
 }
 
 type modelEvent struct {
@@ -474,7 +476,7 @@
 func (m *modelRun) admit(request *modelRequest) bool {
 	decision := request.instance.registry.Admit(m.time(request.instance), request.parts)
 	if decision.Admitted {
-		request.trial = decision.Trial
+		request.trial, request.trialPart = decision.Trial, decision.Part
 		m.attempt(request, nil)
 	}
 	return decision.Admitted
@@ -489,12 +491,15 @@
 		}
 	}
 	if len(up) == 0 {
+		if request.trial && last == nil {
+			request.instance.registry.CancelTrial(m.time(request.instance), request.trialPart)
+		}
 		return
 	}
 	server := up[m.random.IntN(len(up))]
 	request.attempts++
 	server.running = append(server.running, request)
-	start := server.starts
+	start, begun := server.starts, m.now
 	crashes := request.crashing != 0 && m.now >= m.soundUntil
 	duration := time.Duration(m.random.ExpFloat64() * float64(m.meanDuration))
 	if m.random.IntN(10) == 0 {
@@ -516,7 +521,7 @@
 		}
 		server.running = slices.DeleteFunc(server.running, func(other *modelRequest) bool { return other == request })
 		if m.runs(request) {
-			request.instance.registry.RecordRun(m.time(request.instance), request.parts)
+			request.instance.registry.RecordRun(m.time(request.instance), time.Unix(1_000_000, 0).Add(begun+request.instance.skew), request.parts)
 		}
 	})
 }
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -23,7 +23,7 @@
 	// crashLimit is the number of different servers that must crash under a part before it is quarantined.
 	crashLimit = 3
 	// completedCrashLimit replaces crashLimit for a part with which a request has completed recently.
-	completedCrashLimit = 6
+	completedCrashLimit = 4
 	// suspectCrashes is the number of crashes from which on each one is reported as an event: one crash concerns all requests that the
 	// server had.
 	suspectCrashes = 2
@@ -34,8 +34,10 @@
 	crashTTL = time.Minute
 	// quarantineTTL is how long a quarantine lasts after the last request with the part.
 	quarantineTTL = 10 * time.Minute
-	// maxTrials is the number of requests with a quarantined part that are let through to learn whether it is sound.
-	maxTrials = 2
+	// maxTrials is the number of requests with a quarantined part that are let through to learn whether it is sound; maxSentTrials is that
+	// number with those that showed nothing.
+	maxTrials     = 2
+	maxSentTrials = 4
 	// firstTrialDelay is the time from the quarantine to the first trial; each further one waits trialDelayFactor times as long.
 	firstTrialDelay  = time.Second
 	trialDelayFactor = 3
@@ -134,8 +136,8 @@
 	trialAt time.Time
 	// trialCrash is the first server that crashed under the part since then.
 	trialCrash Server
-	// wastedTrials is the number of trials that showed nothing.
-	wastedTrials int
+	// unsentTrials is the number of trials that did not reach a server, and wastedTrials that of the others that showed nothing.
+	unsentTrials, wastedTrials int
 	// lastSeen is when the last crash was recorded, or when the last request with the quarantined part arrived at any instance.
 	lastSeen time.Time
 }
@@ -266,7 +268,7 @@
 func (r *Registry) quarantine(now time.Time, part Part) {
 	e := r.entries[part]
 	e.nextTrial = now.Add(firstTrialDelay)
-	e.since, e.foundHere, e.trialAt, e.wastedTrials = now, true, time.Time{}, 0
+	e.since, e.foundHere, e.trialAt, e.unsentTrials, e.wastedTrials = now, true, time.Time{}, 0, 0
 	r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now), Quarantined: true}, "part_quarantined", false)
 }
 
@@ -281,28 +283,29 @@
 	}
 }
 
-// RecordRun records that a request with these parts completed, which shows that none of them crashes servers.
-func (r *Registry) RecordRun(now time.Time, parts []Part) {
+// RecordRun records that a request with these parts completed that a server began at a time, which shows that none of them crashed servers
+// then.
+func (r *Registry) RecordRun(now, begun time.Time, parts []Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, part := range parts {
-		r.completed.add(now, now, part)
+		r.completed.add(now, begun, part)
 		if e := r.entries[part]; e != nil && (e.verdict.Quarantined || e.count(now) > 0) {
-			r.unshared.addCompleted(now, part)
-			r.clear(now, now, part)
+			r.unshared.addCompleted(now, begun, part)
+			r.clear(now, begun, part)
 		}
 	}
 }
 
-// clear ends the suspicion of a part by crashes up to the time at which a request with it completed, and its quarantine unless that began
-// later for other crashes. The caller holds mu.
-func (r *Registry) clear(now, completedAt time.Time, part Part) {
+// clear ends the suspicion of a part by crashes up to the time at which a request with it began that completed, and its quarantine unless
+// that began later for other crashes. The caller holds mu.
+func (r *Registry) clear(now, begun time.Time, part Part) {
 	e := r.entries[part]
 	if e == nil {
 		return
 	}
-	e.forgive(completedAt)
-	outdated := completedAt.Before(e.since) && (!e.foundHere || r.reachesLimit(now, e))
+	e.forgive(begun)
+	outdated := begun.Before(e.since) && (!e.foundHere || r.reachesLimit(now, e))
 	if e.verdict.Quarantined && !outdated {
 		r.decide(now, e, Verdict{Part: part, Sequence: e.nextSequence(now)}, "part_cleared", false)
 		r.reconsider(now, e)
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -42,7 +42,7 @@
 		r.RecordCrash(start, server(number), []quarantine.Part{systemPart, crashedPart, quarantine.Part(100 + number)})
 		// Sound requests were lost in the same crashes, and others complete.
 		r.RecordCrash(start, server(number), []quarantine.Part{systemPart, soundPart})
-		r.RecordRun(start, []quarantine.Part{systemPart, soundPart})
+		r.RecordRun(start, start, []quarantine.Part{systemPart, soundPart})
 	}
 	is.True(r.Quarantines([]quarantine.Part{crashedPart}))
 	is.True(!r.Quarantines([]quarantine.Part{systemPart, soundPart, 100, 101, 102, 103}))
@@ -60,7 +60,7 @@
 	later := start.Add(2 * time.Second)
 	is.True(!r.Admit(later, []quarantine.Part{crashedPart, soundPart}).Admitted)
 	is.True(r.Admit(later, []quarantine.Part{soundPart}).Trial)
-	r.RecordRun(later, []quarantine.Part{soundPart})
+	r.RecordRun(later, later, []quarantine.Part{soundPart})
 	is.True(r.Admit(later, []quarantine.Part{soundPart}).Admitted)
 	is.True(r.Quarantines([]quarantine.Part{crashedPart}))
 }
@@ -70,8 +70,8 @@
 	t.Parallel()
 	is := is.New(t)
 	r := quarantine.New(quarantine.Config{})
-	r.RecordRun(start, []quarantine.Part{crashedPart})
-	for number := range 6 {
+	r.RecordRun(start, start, []quarantine.Part{crashedPart})
+	for number := range 4 {
 		is.True(!r.Quarantines([]quarantine.Part{crashedPart}))
 		r.RecordCrash(start.Add(time.Duration(number)*100*time.Millisecond), server(number), []quarantine.Part{crashedPart})
 	}
@@ -83,7 +83,7 @@
 	t.Parallel()
 	is := is.New(t)
 	r := quarantine.New(quarantine.Config{})
-	r.RecordRun(start, []quarantine.Part{systemPart})
+	r.RecordRun(start, start, []quarantine.Part{systemPart})
 	crashUnder(r, 0, 12, systemPart)
 	is.True(!r.Quarantines([]quarantine.Part{systemPart}))
 }
@@ -144,9 +144,11 @@
 		is.True(now.Before(start.Add(time.Minute)))
 		if r.Admit(now, []quarantine.Part{soundPart}).Trial {
 			trials++
+			r.CancelTrial(now, soundPart)
 		}
 	}
-	r.RecordRun(now, []quarantine.Part{soundPart})
+	is.True(r.Admit(now.Add(time.Second), []quarantine.Part{soundPart}).Trial)
+	r.RecordRun(now, now, []quarantine.Part{soundPart})
 	is.True(!r.Quarantines([]quarantine.Part{soundPart}))
 }
 
@@ -169,7 +171,7 @@
 	a, b := quarantine.New(quarantine.Config{}), quarantine.New(quarantine.Config{})
 	crashUnder(a, 0, 1, crashedPart)
 	b.Merge(start, a.Report(start))
-	a.RecordRun(start, []quarantine.Part{crashedPart})
+	a.RecordRun(start, start, []quarantine.Part{crashedPart})
 	now := start
 	for number := range 6 {
 		now = now.Add(200 * time.Millisecond)
@@ -188,7 +190,7 @@
 	crashUnder(r, 0, 1, soundPart)
 	crashUnder(r, 1, 3, soundPart, crashedPart)
 	is.True(!r.Quarantines([]quarantine.Part{crashedPart}))
-	r.RecordRun(start.Add(time.Second), []quarantine.Part{soundPart})
+	r.RecordRun(start.Add(time.Second), start.Add(time.Second), []quarantine.Part{soundPart})
 	is.True(!r.Quarantines([]quarantine.Part{soundPart}))
 	is.True(r.Quarantines([]quarantine.Part{crashedPart}))
 }
@@ -210,7 +212,7 @@
 	crashUnder(a, 0, 2, soundPart)
 	report := a.Report(start)
 	b.Merge(start, report)
-	b.RecordRun(start, []quarantine.Part{soundPart})
+	b.RecordRun(start, start, []quarantine.Part{soundPart})
 	for range 5 {
 		b.Merge(start, report)
 	}
@@ -244,11 +246,11 @@
 		for number := range 6 {
 			now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
 			instances[random.IntN(4)].RecordCrash(now, server(number), []quarantine.Part{crashedPart, soundPart})
-			instances[random.IntN(4)].RecordRun(now, []quarantine.Part{systemPart})
+			instances[random.IntN(4)].RecordRun(now, now, []quarantine.Part{systemPart})
 			exchange(true)
 		}
 		exchange(false)
-		instances[random.IntN(4)].RecordRun(now, []quarantine.Part{soundPart})
+		instances[random.IntN(4)].RecordRun(now, now, []quarantine.Part{soundPart})
 		for range 3 {
 			exchange(false)
 		}
@@ -273,7 +275,7 @@
 	}
 	is.True(byReport.Quarantines([]quarantine.Part{crashedPart}))
 	is.True(byStore.Quarantines([]quarantine.Part{crashedPart}))
-	byStore.RecordRun(start.Add(time.Second), []quarantine.Part{crashedPart})
+	byStore.RecordRun(start.Add(time.Second), start.Add(time.Second), []quarantine.Part{crashedPart})
 	known.Merge(start.Add(time.Second), byStore.Report(start.Add(time.Second)))
 	is.True(!known.Quarantines([]quarantine.Part{crashedPart}))
 }
@@ -288,7 +290,7 @@
 		for part := range 200 {
 			parts = append(parts, quarantine.Part(1000*number+part+10_000))
 		}
-		r.RecordRun(start, parts[1:])
+		r.RecordRun(start, start, parts[1:])
 		r.RecordCrash(start, server(number), parts)
 	}
 	report := r.Report(start)
@@ -316,7 +318,7 @@
 		for number := range 4 {
 			parts := []quarantine.Part{systemPart, quarantine.Part(100 + number)}
 			if r.Admit(now, parts).Admitted {
-				r.RecordRun(now, parts)
+				r.RecordRun(now, now, parts)
 			}
 		}
 	}
@@ -350,3 +352,27 @@
 		}
 	})
 }
+
+// TestTrialsWithoutEvidence verifies that trials which reach servers and show nothing, such as those whose server's crash goes unnoticed,
+// are bounded, too.
+func TestTrialsWithoutEvidence(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 3, crashedPart)
+	// crashingContact is the time after the last crash from which on at most three requests with the part may reach servers.
+	const crashingContact = 3 * time.Second
+	late, trials, now := 0, 0, start
+	for range 4 * 3600 {
+		now = now.Add(500 * time.Millisecond)
+		if r.Admit(now, []quarantine.Part{crashedPart}).Trial {
+			trials++
+			if now.After(start.Add(crashingContact)) {
+				late++
+			}
+		}
+		r.Sweep(now)
+	}
+	is.Equal(trials, 4)
+	is.Equal(late, 3)
+}
--- a/internal/process/quarantine/share.go
+++ b/internal/process/quarantine/share.go
@@ -26,7 +26,7 @@
 	AgeMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// CompletedReport is a suspected part and how long ago a request with it completed, in milliseconds.
+// CompletedReport is a suspected part and how long ago a server began a request with it that completed, in milliseconds.
 type CompletedReport struct {
 	Part  Part  `cbor:"1,keyasint"`
 	AgeMS int64 `cbor:"2,keyasint,omitempty"`
@@ -84,7 +84,13 @@
 // unshared holds what this instance has seen and the others may not know yet, the oldest first.
 type unshared struct {
 	crashes   []timed[CrashReport]
-	completed []timed[Part]
+	completed []timed[completedPart]
+}
+
+// completedPart is a suspected part with which a request completed, and when a server began that request.
+type completedPart struct {
+	part  Part
+	begun time.Time
 }
 
 type timed[T any] struct {
@@ -96,8 +102,8 @@
 	u.crashes = append(u.crashes, timed[CrashReport]{now, CrashReport{Server: server, Parts: parts}})
 }
 
-func (u *unshared) addCompleted(now time.Time, part Part) {
-	u.completed = append(u.completed, timed[Part]{now, part})
+func (u *unshared) addCompleted(now, begun time.Time, part Part) {
+	u.completed = append(u.completed, timed[completedPart]{now, completedPart{part, begun}})
 }
 
 // trim drops what was shared for long enough.
@@ -159,9 +165,11 @@
 	var reports []CompletedReport
 	seen := make(map[Part]bool)
 	for index := len(r.unshared.completed) - 1; index >= 0 && len(reports) < maxSharedParts; index-- {
-		if completed := r.unshared.completed[index]; !seen[completed.value] {
-			seen[completed.value] = true
-			reports = append(reports, CompletedReport{Part: completed.value, AgeMS: now.Sub(completed.at).Milliseconds()})
+		if completed := r.unshared.completed[index].value; !seen[completed.part] {
+			seen[completed.part] = true
+			reports = append(reports, CompletedReport{
+				Part: completed.part, AgeMS: min(now.Sub(completed.begun), maxSeen).Milliseconds(),
+			})
 		}
 	}
 	return reports
@@ -225,7 +233,7 @@
 	e.nextTrial = now.Add(firstTrialDelay)
 	switch {
 	case verdict.Quarantined && !before.Quarantined:
-		e.since, e.foundHere, e.trialAt, e.wastedTrials = now, false, time.Time{}, 0
+		e.since, e.foundHere, e.trialAt, e.unsentTrials, e.wastedTrials = now, false, time.Time{}, 0, 0
 		r.decide(now, e, verdict, "part_quarantined", true)
 		for server := range e.crashes {
 			r.explain(now, server)
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -121,7 +121,7 @@
 	Objective                 time.Duration
 	// Parts are the ids of the first shared parts of the prompt, at most maxLoggedParts.
 	Parts []quarantine.Part
-	// QuarantinedPart is the part for which the request was refused, 0 if it was not.
+	// QuarantinedPart is the part for which the request was refused, or let through as a trial; 0 if it has none.
 	QuarantinedPart quarantine.Part
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
 	LongestPause, MaxPause time.Duration
@@ -168,10 +168,14 @@
 	mayHaveRun bool
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
 	breakCause error
+	// attemptAt is when the current attempt began.
+	attemptAt time.Time
 	// firstEventAt is when the first event came from the server of the current attempt, zero before.
 	firstEventAt time.Time
 	// startCounted is set once the request was counted as started.
 	startCounted bool
+	// reachedServer is set once a server got the request, or may have got it, whatever it did with it.
+	reachedServer bool
 	// serversTried counts the servers that got the request or may have got it.
 	serversTried int
 	// lastEventID is the id of the last event that was relayed to the caller.
@@ -207,6 +211,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.run()
+	c.endTrial()
 }
 
 // maxLogged bounds each value from the caller that goes into a log line, in bytes.
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -33,11 +33,10 @@
 	c.parts = sharedParts(c.request.Header)
 	c.record.Parts = c.parts[:min(len(c.parts), maxLoggedParts)]
 	decision := c.forwarder.config.Quarantine.Admit(c.arrived, c.parts)
-	c.trial = decision.Trial
+	c.trial, c.record.QuarantinedPart = decision.Trial, decision.Part
 	if decision.Admitted {
 		return nil
 	}
-	c.record.QuarantinedPart = decision.Part
 	return unavailable(reasonQuarantined, decision.RetryAfter)
 }
 
@@ -49,10 +48,17 @@
 	return unavailable(reasonQuarantined, suspectRetryAfter)
 }
 
+// endTrial has a trial that no server got repeated.
+func (c *call) endTrial() {
+	if c.trial && !c.reachedServer {
+		c.forwarder.config.Quarantine.CancelTrial(time.Now(), c.record.QuarantinedPart)
+	}
+}
+
 // recordCompleted records that the request got a complete response: neither the request nor its prompt parts crash servers.
 func (c *call) recordCompleted() {
 	c.forwarder.config.Suspects.Clear(c.digest)
-	c.forwarder.config.Quarantine.RecordRun(time.Now(), c.parts)
+	c.forwarder.config.Quarantine.RecordRun(time.Now(), c.attemptAt, c.parts)
 }
 
 // recordCrash records the crash of a server against the prompt parts of the request, if the server has crashed and had not answered the
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -47,7 +47,11 @@
 func (c *call) run() {
 	budget := c.forwarder.config.Budget(c.service)
 	for undeliveredCount := 0; ; {
-		if refused := c.recheck(); refused != nil {
+		refused := c.recheck()
+		if refused == nil && c.trial && c.reachedServer {
+			refused = unavailable(reasonQuarantined, suspectRetryAfter)
+		}
+		if refused != nil {
 			c.refuse(refused)
 			return
 		}
@@ -107,9 +111,6 @@
 	case refusedByServer:
 		return true
 	case lost, failedByServer, interrupted:
-		if c.trial {
-			return false
-		}
 		if c.headWritten {
 			// Otherwise the server that resumes the stream would send the events behind lastEventID again.
 			return c.route.Resumable && c.lastEventHasID
@@ -169,7 +170,7 @@
 	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	attempt := balancer.StartAttempt(now, c.query, choice)
-	c.breakCause, c.firstEventAt = nil, time.Time{}
+	c.breakCause, c.attemptAt, c.firstEventAt = nil, now, time.Time{}
 	result, serverResult := c.exchange(server, attempt)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
@@ -237,6 +238,7 @@
 		return c.handleSendError(err, server)
 	}
 	defer response.Close()
+	c.reachedServer = true
 	if response.Status == http.StatusMisdirectedRequest {
 		return undelivered, placement.Unreachable
 	}
@@ -262,7 +264,7 @@
 		return undelivered, placement.Neutral
 	}
 	c.serversTried++
-	c.mayHaveRun = true
+	c.mayHaveRun, c.reachedServer = true, true
 	if !c.query.Engine {
 		// A plain server probably started to run the request at once; an engine starts with the first event.
 		c.countStart()
