A stored verdict lasts as long as its quarantine

Change: a row says when the quarantine ends; the instance that makes the trials writes it again while requests with the part arrive. Ended rows count for nothing.

--- a/internal/process/quarantine/admit.go
+++ b/internal/process/quarantine/admit.go
@@ -42,7 +42,7 @@
 		r.decide(now, e, e.verdict, "part_trial", false)
 		return Decision{Admitted: true, Trial: true, Part: part}
 	}
-	retryAfter := quarantineTTL
+	retryAfter := TTL
 	if e.usedTrials() < maxTrials && e.sentTrials() < maxSentTrials {
 		retryAfter = max(e.nextTrial.Sub(now), firstTrialDelay)
 	}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -32,8 +32,8 @@
 	burstTime = 100 * time.Millisecond
 	// crashTTL is how long a crash counts.
 	crashTTL = time.Minute
-	// quarantineTTL is how long a quarantine lasts after the last request with the part.
-	quarantineTTL = 10 * time.Minute
+	// TTL is how long a quarantine lasts after the last request with the part.
+	TTL = 10 * time.Minute
 	// maxTrials is the number of requests with a quarantined part that are let through to learn whether it is sound; maxSentTrials is that
 	// number with those that showed nothing.
 	maxTrials     = 2
@@ -394,10 +394,10 @@
 		maps.DeleteFunc(e.crashes, func(_ Server, known crash) bool { return now.Sub(known.at) > crashTTL })
 		idle := now.Sub(e.lastSeen)
 		switch {
-		case e.verdict.Quarantined && idle > quarantineTTL:
+		case e.verdict.Quarantined && idle > TTL:
 			r.config.OnEvent(Event{Name: "part_expired", Verdict: e.verdict, Crashes: e.count(now)})
 			delete(r.entries, part)
-		case e.verdict.Sequence > 0 && idle > quarantineTTL, e.verdict.Sequence == 0 && idle > crashTTL:
+		case e.verdict.Sequence > 0 && idle > TTL, e.verdict.Sequence == 0 && idle > crashTTL:
 			delete(r.entries, part)
 		}
 	}
--- a/internal/process/quarantine/share.go
+++ b/internal/process/quarantine/share.go
@@ -210,15 +210,15 @@
 }
 
 // MergeVerdict applies a stored verdict.
-func (r *Registry) MergeVerdict(now time.Time, verdict Verdict) {
+func (r *Registry) MergeVerdict(now time.Time, report VerdictReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mergeVerdict(now, verdict, now)
+	r.mergeVerdict(now, report.Verdict, ago(now, report.SeenMS))
 }
 
 // mergeVerdict applies a verdict unless a newer one is known; the caller holds mu.
 func (r *Registry) mergeVerdict(now time.Time, verdict Verdict, seen time.Time) {
-	if now.Sub(seen) > quarantineTTL {
+	if now.Sub(seen) > TTL {
 		return
 	}
 	known := r.entries[verdict.Part]
@@ -253,13 +253,13 @@
 }
 
 // Verdicts returns the verdicts on all quarantined parts.
-func (r *Registry) Verdicts() []Verdict {
+func (r *Registry) Verdicts(now time.Time) []VerdictReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var verdicts []Verdict
+	var verdicts []VerdictReport
 	for _, e := range r.entries {
 		if e.verdict.Quarantined {
-			verdicts = append(verdicts, e.verdict)
+			verdicts = append(verdicts, VerdictReport{Verdict: e.verdict, SeenMS: now.Sub(e.lastSeen).Milliseconds()})
 		}
 	}
 	return verdicts
--- a/internal/role/router/quarantine.go
+++ b/internal/role/router/quarantine.go
@@ -20,8 +20,8 @@
 const (
 	// quarantineTable holds the verdicts on prompt parts, for instances that start and for those that hear no gossip.
 	quarantineTable = "quarantine"
-	// verdictRetention is how long a verdict is kept in the store after it was written.
-	verdictRetention = 24 * time.Hour
+	// verdictRefreshInterval is the time between two writes of a verdict on a part with which requests still arrive.
+	verdictRefreshInterval = quarantine.TTL / 4
 	// maxPendingVerdicts bounds the verdicts that wait to be written.
 	maxPendingVerdicts = 256
 )
@@ -29,7 +29,7 @@
 // verdictRow is a verdict in the store.
 type verdictRow struct {
 	quarantine.Verdict
-	// EndsUnixMS is when the row may be deleted, in Unix milliseconds of the agreed time.
+	// EndsUnixMS is when the verdict ends if no further request with the part arrives, in Unix milliseconds of the agreed time.
 	EndsUnixMS int64 `json:"ends_unix_ms"`
 }
 
@@ -47,54 +47,63 @@
 	}
 	switch event.Name {
 	case "part_quarantined", "part_trial", "part_cleared":
-		r.enqueueVerdict(event.Verdict)
+		r.enqueueVerdict(quarantine.VerdictReport{Verdict: event.Verdict})
 	}
 }
 
 // enqueueVerdict has a verdict written to the store. If too many wait, it is left to gossip.
-func (r *Router) enqueueVerdict(verdict quarantine.Verdict) {
+func (r *Router) enqueueVerdict(report quarantine.VerdictReport) {
 	select {
-	case r.pendingVerdicts <- verdict:
+	case r.pendingVerdicts <- report:
 	default:
-		r.journal.Log("verdict_not_stored", "part", strconv.FormatUint(uint64(verdict.Part), 16), "waiting", maxPendingVerdicts)
+		r.journal.Log("verdict_not_stored", "part", strconv.FormatUint(uint64(report.Verdict.Part), 16), "waiting", maxPendingVerdicts)
 	}
 }
 
 // storeVerdicts writes verdicts to the store until the context is done. It retries a failed write until the store responds.
 func (r *Router) storeVerdicts(ctx context.Context) {
+	refresh := time.NewTicker(verdictRefreshInterval)
+	defer refresh.Stop()
 	for {
 		select {
-		case verdict := <-r.pendingVerdicts:
-			for ctx.Err() == nil && !r.storeVerdict(ctx, verdict) {
+		case report := <-r.pendingVerdicts:
+			ends := r.peers.AgreedTime().Add(quarantine.TTL - time.Duration(report.SeenMS)*time.Millisecond)
+			for ctx.Err() == nil && !r.storeVerdict(ctx, verdictRow{report.Verdict, ends.UnixMilli()}) {
 				clock.Sleep(ctx, storeTimeout, r.health.storeRecovered())
 			}
+		case <-refresh.C:
+			for _, report := range r.quarantine.Verdicts(time.Now()) {
+				if r.ownsTrials(report.Verdict.Part) {
+					r.enqueueVerdict(report)
+				}
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// storeVerdict writes a verdict unless the store holds a newer one, and reports whether that is done.
-func (r *Router) storeVerdict(ctx context.Context, verdict quarantine.Verdict) bool {
-	key := verdictKey(verdict.Part)
+// storeVerdict writes a row unless the store holds a newer verdict, or the same one for about as long, and reports whether that is done.
+func (r *Router) storeVerdict(ctx context.Context, row verdictRow) bool {
+	key := verdictKey(row.Part)
 	rows, err := r.store.Read(ctx, key)
 	if err == nil && rows[0].Revision != 0 {
-		if stored, decodeErr := decodeVerdict(rows[0].Value); decodeErr == nil && !verdict.IsNewerThan(stored.Verdict) {
+		stored, decodeErr := decodeVerdict(rows[0].Value)
+		lasting := stored.EndsUnixMS > row.EndsUnixMS-verdictRefreshInterval.Milliseconds()/2
+		if decodeErr == nil && (stored.IsNewerThan(row.Verdict) || stored.Verdict == row.Verdict && lasting) {
 			return true
 		}
 	}
 	if err == nil {
 		var value []byte
-		if value, err = json.Marshal(verdictRow{
-			Verdict: verdict, EndsUnixMS: r.peers.AgreedTime().Add(verdictRetention).UnixMilli(),
-		}); err == nil {
+		if value, err = json.Marshal(row); err == nil {
 			err = r.store.Commit(ctx, table.Transaction{
 				Checks: []table.Check{{Key: key, Revision: rows[0].Revision}}, Writes: []table.Write{{Key: key, Value: value}},
 			})
 		}
 	}
 	if err != nil {
-		r.journal.Log("verdict_unwritten", "part", strconv.FormatUint(uint64(verdict.Part), 16), "err", err)
+		r.journal.Log("verdict_unwritten", "part", strconv.FormatUint(uint64(row.Part), 16), "err", err)
 	}
 	return err == nil
 }
@@ -119,11 +128,16 @@
 			r.journal.Log("verdict_unreadable", "key", change.Key, "err", err)
 			continue
 		}
-		if update.Snapshot && row.EndsUnixMS < r.peers.AgreedTime().UnixMilli() {
-			ended = append(ended, table.Write{Key: change.Key, Delete: true})
+		remaining := time.Duration(row.EndsUnixMS-r.peers.AgreedTime().UnixMilli()) * time.Millisecond
+		if remaining <= 0 {
+			if update.Snapshot {
+				ended = append(ended, table.Write{Key: change.Key, Delete: true})
+			}
 			continue
 		}
-		r.quarantine.MergeVerdict(now, row.Verdict)
+		r.quarantine.MergeVerdict(now, quarantine.VerdictReport{
+			Verdict: row.Verdict, SeenMS: max(quarantine.TTL-remaining, 0).Milliseconds(),
+		})
 	}
 	if len(ended) == 0 {
 		return
@@ -137,8 +151,8 @@
 
 // rewriteVerdicts writes the known quarantines again after the store came back from an older copy.
 func (r *Router) rewriteVerdicts() {
-	for _, verdict := range r.quarantine.Verdicts() {
-		r.enqueueVerdict(verdict)
+	for _, report := range r.quarantine.Verdicts(time.Now()) {
+		r.enqueueVerdict(report)
 	}
 }
 
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -60,7 +60,7 @@
 	quarantine    *quarantine.Registry
 	crashes       servers.CrashDetector
 	// pendingVerdicts holds the verdicts of this instance that are not in the store yet.
-	pendingVerdicts chan quarantine.Verdict
+	pendingVerdicts chan quarantine.VerdictReport
 	counter         *usage.Counter
 	lease           *lease.Lease
 	callerListener  *listener.Listener
@@ -117,7 +117,7 @@
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
 	r.suspects = forward.NewSuspectList(r.recordSuspect)
 	r.crashes.OnCrash = r.recordCrash
-	r.pendingVerdicts = make(chan quarantine.Verdict, maxPendingVerdicts)
+	r.pendingVerdicts = make(chan quarantine.VerdictReport, maxPendingVerdicts)
 	r.quarantine = quarantine.New(quarantine.Config{OwnsTrials: r.ownsTrials, OnEvent: r.recordQuarantine})
 	if err := r.assemble(ctx, config); err != nil {
 		return nil, err
