--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -12,10 +12,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/samber/oops"
-
-	"vanillapond/pkg/ident"
 )
 
 // Limits of suspicions.
@@ -47,59 +43,6 @@
 	maxEntries = 4096
 )
 
-// Part is the id of a prompt part.
-type Part uint64
-
-// Server identifies one start of a server.
-type Server struct {
-	ID            ident.Endpoint `cbor:"1,keyasint"`
-	StartedUnixMS int64          `cbor:"2,keyasint"`
-}
-
-// Verdict says whether a part is quarantined.
-type Verdict struct {
-	Part Part `cbor:"1,keyasint" json:"part"`
-	// Sequence orders the verdicts on one part. Of two with the same sequence, the one that quarantines holds.
-	Sequence    int64 `cbor:"2,keyasint" json:"sequence"`
-	Quarantined bool  `cbor:"3,keyasint" json:"quarantined"`
-	// Trials is the number of requests that were let through in this quarantine.
-	Trials int `cbor:"4,keyasint,omitempty" json:"trials"`
-}
-
-// Check returns an error if a field is out of range.
-func (v Verdict) Check() error {
-	if v.Sequence <= 0 || v.Trials < 0 {
-		return oops.Errorf("verdict on a prompt part: found sequence %d and %d trials, want at least 1 and 0", v.Sequence, v.Trials)
-	}
-	return nil
-}
-
-// IsNewerThan reports whether the verdict replaces another one on the same part.
-func (v Verdict) IsNewerThan(other Verdict) bool {
-	switch {
-	case v.Sequence != other.Sequence:
-		return v.Sequence > other.Sequence
-	case v.Quarantined != other.Quarantined:
-		return v.Quarantined
-	default:
-		return v.Trials > other.Trials
-	}
-}
-
-// Event is a change of what the registry holds about a part.
-type Event struct {
-	// Name is part_suspected, part_quarantined, part_trial, part_cleared or part_expired. An instance that forgets a quarantine for lack
-	// of requests reports part_expired, and changes no verdict.
-	Name string
-	Verdict
-	// Server is the server that crashed, for part_suspected.
-	Server Server
-	// Crashes is the number of servers whose crashes count against the part.
-	Crashes int
-	// FromPeer means that another instance has found the change.
-	FromPeer bool
-}
-
 // Config configures a Registry.
 type Config struct {
 	// OwnsTrials reports whether this instance makes the trials of a part. At any time, all instances agree on one; nil means that
@@ -123,31 +66,6 @@
 	unshared unshared
 }
 
-type entry struct {
-	// crashes holds the servers that crashed under the part; those that no longer count are kept, since peers report them repeatedly.
-	crashes map[Server]crash
-	verdict Verdict
-	// nextTrial is when the next trial may begin; only valid while the part is quarantined.
-	nextTrial time.Time
-	// since is when the part was quarantined here, and foundHere means that this instance decided so; only valid while it is.
-	since     time.Time
-	foundHere bool
-	// trialAt is when the last trial began; zero if there was none, or it is known to have been wasted.
-	trialAt time.Time
-	// trialCrash is the first server that crashed under the part since then.
-	trialCrash Server
-	// unsentTrials is the number of trials that did not reach a server, and wastedTrials that of the others that showed nothing.
-	unsentTrials, wastedTrials int
-	// lastSeen is when the last crash was recorded, or when the last request with the quarantined part arrived at any instance.
-	lastSeen time.Time
-}
-
-type crash struct {
-	at time.Time
-	// counts is cleared when a request with the part completes, or when a quarantined part explains the crash.
-	counts bool
-}
-
 // New returns a registry without entries.
 func New(config Config) *Registry {
 	if config.OwnsTrials == nil {
@@ -159,17 +77,6 @@
 	return &Registry{config: config, entries: make(map[Part]*entry), explained: make(map[Server]time.Time)}
 }
 
-// count returns the number of crashes that count now.
-func (e *entry) count(now time.Time) int {
-	count := 0
-	for _, crash := range e.crashes {
-		if crash.counts && now.Sub(crash.at) < crashTTL {
-			count++
-		}
-	}
-	return count
-}
-
 // RecordCrash records that a server crashed while it had not completed a request with these parts, or had only just begun to answer it.
 func (r *Registry) RecordCrash(now time.Time, server Server, parts []Part) {
 	r.mu.Lock()
@@ -244,26 +151,6 @@
 	return e.count(now) >= crashLimit
 }
 
-// countBursts returns the number of crashes that count now, where those within burstTime of the one before are one.
-func (e *entry) countBursts(now time.Time) int {
-	var times []time.Time
-	for _, crash := range e.crashes {
-		if crash.counts && now.Sub(crash.at) < crashTTL {
-			times = append(times, crash.at)
-		}
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	bursts := 0
-	var last time.Time
-	for _, at := range times {
-		if bursts == 0 || at.Sub(last) >= burstTime {
-			bursts++
-			last = at
-		}
-	}
-	return bursts
-}
-
 // quarantine begins the quarantine of a part; the caller holds mu.
 func (r *Registry) quarantine(now time.Time, part Part) {
 	e := r.entries[part]
@@ -333,20 +220,6 @@
 	r.quarantineWorst(now, parts)
 }
 
-// forgive makes the crashes up to a time count no longer.
-func (e *entry) forgive(until time.Time) {
-	for server, known := range e.crashes {
-		if !known.at.After(until) {
-			known.counts = false
-			e.crashes[server] = known
-		}
-	}
-}
-
-// nextSequence returns the sequence of a verdict given now. It is taken from the time of day, so that it is also greater than that of a
-// verdict which this instance has forgotten.
-func (e *entry) nextSequence(now time.Time) int64 { return max(e.verdict.Sequence+1, now.UnixMilli()) }
-
 // decide replaces the verdict on a part; the caller holds mu.
 func (r *Registry) decide(now time.Time, e *entry, verdict Verdict, name string, fromPeer bool) {
 	e.verdict = verdict
