Log the rate limits that servers name

Change: the adapter reads the header; the registry keeps the latest statement of each server by the times at which it was made and logs server_limited, server_limit_ended and server_limit_invalid, which are counted too. Nothing is decided by it yet.

--- a/internal/connection/servers/announcement.go
+++ b/internal/connection/servers/announcement.go
@@ -38,6 +38,8 @@
 	unconfirmed bool
 	// pausedUntil is until when the server wants no requests from this process, 0 for never.
 	pausedUntil clock.Reading
+	// limit is the latest statement on the server's rate limit, nil if it has never named one.
+	limit *LimitStatement
 	// absentSince is when the registration was found to be absent, 0 while it is present.
 	absentSince clock.Reading
 }
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -139,12 +139,14 @@
 
 // Event is a change of the registry's state.
 type Event struct {
-	// Name is joined, changed, leaving, missing, returned, gone, announced_leaving or paused. After announced_leaving and paused
-	// only the id and the start of a server that is no longer registered are known.
+	// Name is joined, changed, leaving, missing, returned, gone, announced_leaving, paused, limited or limit_ended. Of a server that is no
+	// longer registered, the last four tell only the id and the start.
 	Name   string
 	Server platform.Server
 	// Pause is for how long a paused server wants no requests.
 	Pause time.Duration
+	// PerSecond is the rate that a limited server accepts from all instances together.
+	PerSecond float64
 }
 
 // Update applies changed and removed registrations; complete means that registrations holds all that exist.
--- a/internal/request/forward/announce.go
+++ b/internal/request/forward/announce.go
@@ -14,13 +14,14 @@
 // servers had asked for a pause.
 const resumeSpread = 0.25
 
-// applyAnnouncements applies what a server says about itself in a response: that it leaves, or that it wants no requests for a while.
+// applyAnnouncements applies what a server says about itself in a response: that it leaves, how many requests it takes, or that it wants none for a while.
 func (c *call) applyAnnouncements(response *direct.Response, server *servers.Server) {
 	config := c.forwarder.config
 	incarnation := server.Incarnation()
 	if platform.Leaving(response.Header) {
 		config.Servers.MarkLeaving(incarnation)
 	}
+	c.observeLimit(response, server)
 	if response.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -33,6 +34,21 @@
 	}
 }
 
+// observeLimit records the rate limit that a response names. A refusal without one says nothing: the server may write it without regard to
+// its limit.
+func (c *call) observeLimit(response *direct.Response, server *servers.Server) {
+	config := c.forwarder.config
+	rate, named, err := platform.RateLimit(response.Header)
+	switch {
+	case err != nil:
+		config.OnInvalidLimit(server.ID, err)
+	case named || response.Header.Get(platform.HeaderNotExecuted) == "":
+		config.Servers.ObserveLimit(servers.LimitStatement{
+			Server: server.Incarnation(), Limited: named, PerSecond: rate, SentAt: c.sentAt, ReceivedAt: config.Now(),
+		})
+	}
+}
+
 // serversRetryAfter returns the Retry-After of a request that no server accepts. If servers have asked for a pause, callers return
 // after the first one has ended, spread in time so that they don't overload that server.
 func (c *call) serversRetryAfter() time.Duration {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -71,8 +71,10 @@
 	MaxDenyAge func() time.Duration
 	// Observe is called once at the end of each request.
 	Observe func(Record)
-	// OnInvalidPause receives the error of a server's response that asks for an invalid pause.
+	// OnInvalidPause receives the error of a server's response that asks for an invalid pause, and OnInvalidLimit that of one that names an
+	// invalid rate limit; a nil OnInvalidLimit is not called.
 	OnInvalidPause func(server ident.Endpoint, err error)
+	OnInvalidLimit func(server ident.Endpoint, err error)
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -91,6 +93,9 @@
 	if config.HasCrashed == nil {
 		config.HasCrashed = func(*servers.Server, error) bool { return false }
 	}
+	if config.OnInvalidLimit == nil {
+		config.OnInvalidLimit = func(ident.Endpoint, error) {}
+	}
 	return &Forwarder{config: config}
 }
 
@@ -170,6 +175,8 @@
 	breakCause error
 	// attemptAt is when the current attempt began.
 	attemptAt time.Time
+	// sentAt is when the current attempt was about to be sent.
+	sentAt clock.Reading
 	// firstEventAt is when the first event came from the server of the current attempt, zero before.
 	firstEventAt time.Time
 	// startCounted is set once the request was counted as started.
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -228,6 +228,7 @@
 func (c *call) exchange(server *servers.Server, attempt *placement.Attempt) (attemptResult, placement.Result) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
+	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -215,14 +215,15 @@
 	r.metrics.countAnnouncement(event.Name)
 	_, ready := r.servers.Counts()
 	r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
-		"pause", event.Pause, "ready", ready)
+		"pause", event.Pause, "per_second", event.PerSecond, "ready", ready)
 }
 
-// recordInvalidPause logs and counts a response that asks for an invalid pause.
-func (r *Router) recordInvalidPause(server ident.Endpoint, err error) {
-	const name = "pause_invalid"
-	r.metrics.countAnnouncement(name)
-	r.journal.Log("server_"+name, "server", server, "err", err)
+// recordInvalid returns a function that logs and counts a response with an invalid announcement.
+func (r *Router) recordInvalid(name string) func(ident.Endpoint, error) {
+	return func(server ident.Endpoint, err error) {
+		r.metrics.countAnnouncement(name)
+		r.journal.Log("server_"+name, "server", server, "err", err)
+	}
 }
 
 // sweep regularly removes lapsed servers and closes idle connections.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -205,7 +205,8 @@
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get,
 		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Observe: r.observe, OnInvalidPause: r.recordInvalidPause,
+		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Observe: r.observe,
+		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
 		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
 	})
