All instances together keep the rate limit that a server names

Cause: no instance kept the limit. One that keeps it alone would not do either: what a rate allows is decided by each instance and counted over all. Class of fault: decided by one, counted over all. Change: internal/process/sharedrate gives the instances turns by the agreed time; unused turns lapse. peers.Registry.Share says who shares: fresh rows and instances heard by gossip, none before the rows were read, a quarter while cut off. What responses say of limits goes to the peers with its age; a limit ends by a request sent after it was last named. No call to the store and no message before a request.

--- a/internal/connection/servers/announcement.go
+++ b/internal/connection/servers/announcement.go
@@ -38,8 +38,8 @@
 	unconfirmed bool
 	// pausedUntil is until when the server wants no requests from this process, 0 for never.
 	pausedUntil clock.Reading
-	// limit is the latest statement on the server's rate limit, nil if it has never named one.
-	limit *LimitStatement
+	// limit is what is known of the server's rate limit, nil if it has never named one.
+	limit *rateLimit
 	// absentSince is when the registration was found to be absent, 0 while it is present.
 	absentSince clock.Reading
 }
@@ -57,6 +57,7 @@
 			known.absentSince = r.config.Now()
 		}
 		r.announcements[of.ID] = known
+		delete(r.limited, of.ID)
 	}
 	return known
 }
@@ -67,7 +68,7 @@
 	switch {
 	case known == nil:
 	case known.startedUnixMS != registration.StartedUnixMS:
-		delete(r.announcements, registration.ID)
+		r.forgetAnnouncement(registration.ID)
 	default:
 		known.absentSince = 0
 		if known.leaving || known.unconfirmed {
@@ -163,7 +164,13 @@
 		case known.absentSince == 0:
 			known.absentSince = now
 		case now.Sub(known.absentSince) > announcementTTL:
-			delete(r.announcements, id)
+			r.forgetAnnouncement(id)
 		}
 	}
 }
+
+// forgetAnnouncement removes what a server has said; the caller holds mu.
+func (r *Registry) forgetAnnouncement(id ident.Endpoint) {
+	delete(r.announcements, id)
+	delete(r.limited, id)
+}
--- a/internal/connection/servers/limit.go
+++ b/internal/connection/servers/limit.go
@@ -1,7 +1,13 @@
 package servers
 
 import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/sharedrate"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
@@ -9,19 +15,40 @@
 // LimitStatement is what a response of a server says about the rate of requests that it accepts from all router instances together.
 type LimitStatement struct {
 	Server Incarnation
-	// Limited is false if the response names no limit. PerSecond is the limit otherwise.
-	Limited   bool
-	PerSecond float64
+	// Limited is false if the response names no limit. Rate is the limit otherwise.
+	Limited bool
+	Rate    sharedrate.Rate
 	// SentAt and ReceivedAt are when the request was sent and its response received; the server made its statement between them.
 	SentAt, ReceivedAt clock.Reading
+	// delay is by how much earlier both times may have been, because a report took that long.
+	delay time.Duration
+}
+
+// rateLimit is what is known of a server's rate limit.
+type rateLimit struct {
+	// latest is the latest statement, and own the latest one in a response to this instance, which may be the zero value.
+	latest, own LimitStatement
+	// ownEndedAt is when own last turned from a limit, or from nothing, to none.
+	ownEndedAt clock.Reading
+	limiter    *sharedrate.Limiter
+}
+
+// recordOwn records a statement in a response to this instance.
+func (l *rateLimit) recordOwn(statement LimitStatement) {
+	if !statement.supersedes(l.own) {
+		return
+	}
+	if !statement.Limited && (l.own.Limited || l.own.Server.ID == "") {
+		l.ownEndedAt = statement.ReceivedAt
+	}
+	l.own = statement
 }
 
 // ObserveLimit applies a statement from a response to this instance.
 func (r *Registry) ObserveLimit(statement LimitStatement) {
-	if !statement.Limited && !r.namedLimit(statement.Server.ID) {
-		return
+	if statement.Limited || r.namedLimit(statement.Server.ID) {
+		r.applyLimit(statement, false)
 	}
-	r.applyLimit(statement)
 }
 
 // namedLimit reports whether the server has ever named a limit.
@@ -33,16 +60,35 @@
 }
 
 // applyLimit applies a statement unless a later one is known.
-func (r *Registry) applyLimit(statement LimitStatement) {
+func (r *Registry) applyLimit(statement LimitStatement, fromPeer bool) {
 	r.mu.Lock()
 	known := r.announcementOf(statement.Server)
-	if known == nil || known.limit == nil && !statement.Limited || known.limit != nil && !supersedes(statement, *known.limit) {
+	if known == nil || known.limit == nil && !statement.Limited {
+		r.mu.Unlock()
+		return
+	}
+	if known.limit == nil {
+		known.limit = &rateLimit{limiter: sharedrate.New(limiterConfig(statement.Server.ID))}
+	}
+	limit := known.limit
+	if !fromPeer {
+		limit.recordOwn(statement)
+	}
+	before := limit.latest
+	if !statement.supersedes(before) {
 		r.mu.Unlock()
 		return
 	}
-	changed := known.limit == nil || known.limit.Limited != statement.Limited || known.limit.PerSecond != statement.PerSecond
-	known.limit = &statement
-	event := Event{Name: "limited", Server: platform.Server{ID: statement.Server.ID, StartedUnixMS: statement.Server.StartedUnixMS}, PerSecond: statement.PerSecond}
+	limit.latest = statement
+	if statement.Limited {
+		r.limited[statement.Server.ID] = limit
+	} else {
+		delete(r.limited, statement.Server.ID)
+	}
+	event := Event{
+		Name: "limited", Server: platform.Server{ID: statement.Server.ID, StartedUnixMS: statement.Server.StartedUnixMS},
+		Rate: statement.Rate, FromPeer: fromPeer,
+	}
 	if !statement.Limited {
 		event.Name = "limit_ended"
 	}
@@ -50,20 +96,97 @@
 		event.Server = current.Server
 	}
 	r.mu.Unlock()
-	if changed {
+	if before.Limited != statement.Limited || before.Rate != statement.Rate {
 		r.config.OnEvent(event)
 	}
 }
 
 // supersedes reports whether a server made a statement after a known one. A limit ends only by the response to a request that was sent after
 // the limit was last named, since responses on different connections overtake each other.
-func supersedes(statement, known LimitStatement) bool {
+func (s LimitStatement) supersedes(known LimitStatement) bool {
 	switch {
-	case !statement.Limited:
-		return known.Limited && statement.SentAt >= known.ReceivedAt
+	case s.Limited && known.Limited:
+		return s.ReceivedAt > known.ReceivedAt
+	case s.Limited:
+		return s.ReceivedAt > known.SentAt
 	case known.Limited:
-		return statement.ReceivedAt > known.ReceivedAt
+		return s.SentAt.Add(-s.delay) >= known.ReceivedAt
 	default:
-		return statement.ReceivedAt > known.SentAt
+		return s.SentAt > known.SentAt
 	}
 }
+
+// limiterConfig returns the configuration of the limiter for a server.
+func limiterConfig(id ident.Endpoint) sharedrate.Config {
+	return sharedrate.Config{
+		Window: platform.RateLimitWindow, Overage: platform.RateLimitOverage, Slack: platform.RateLimitSlack,
+		Offset: float64(xxhash.Sum64String(string(id))) / math.MaxUint64,
+	}
+}
+
+// RateLimited reports whether a server has a rate limit.
+func (r *Registry) RateLimited(id ident.Endpoint) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.limited[id] != nil
+}
+
+// WithoutTurn returns the servers to which this instance must send no request now, because of their rate limits.
+func (r *Registry) WithoutTurn() []ident.Endpoint {
+	r.mu.RLock()
+	limited := len(r.limited)
+	r.mu.RUnlock()
+	if limited == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	share, now := r.config.Share(), r.config.AgreedTime()
+	var without []ident.Endpoint
+	for id, limit := range r.limited {
+		if !limit.limiterAt(now, share).Available(now) {
+			without = append(without, id)
+		}
+	}
+	return without
+}
+
+// TakeTurn reports whether this instance may send a request to a server now. If the server has a rate limit, that uses a turn.
+func (r *Registry) TakeTurn(id ident.Endpoint) (limited, ok bool) {
+	if !r.RateLimited(id) {
+		return false, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := r.limited[id]
+	if limit == nil {
+		return false, true
+	}
+	now := r.config.AgreedTime()
+	return true, limit.limiterAt(now, r.config.Share()).Take(now)
+}
+
+// TurnInterval returns the mean time between two requests that a service takes if all of its servers have rate limits, 0 otherwise.
+func (r *Registry) TurnInterval(service ident.Pool) time.Duration {
+	ready, _ := r.Ready(service)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	sum := sharedrate.Rate(0)
+	for _, server := range ready {
+		limit := r.limited[server.ID]
+		if limit == nil {
+			return 0
+		}
+		sum += max(limit.latest.Rate, sharedrate.MinRate)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / float64(sum))
+}
+
+// limiterAt returns the limiter with the limit and share that hold now.
+func (l *rateLimit) limiterAt(now time.Time, share sharedrate.Share) *sharedrate.Limiter {
+	l.limiter.Set(now, l.latest.Rate, share)
+	return l.limiter
+}
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -9,6 +9,7 @@
 
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/sharedrate"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
@@ -36,6 +37,10 @@
 	MinOutage time.Duration
 	// OnEvent receives the changes that follow from the servers' responses; nil means that they are ignored.
 	OnEvent func(Event)
+	// Share returns this instance's share of the rates that servers accept from all instances together; nil means all of them.
+	Share func() sharedrate.Share
+	// AgreedTime returns the time of day as all instances see it; nil means time.Now.
+	AgreedTime func() time.Time
 	// Now returns the current time; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -48,6 +53,8 @@
 	servers map[ident.Endpoint]*Server
 	// announcements holds what servers have said about themselves in their responses; guarded by mu.
 	announcements map[ident.Endpoint]*announcement
+	// limited holds the servers that have a rate limit; it is a subset of announcements. Guarded by mu.
+	limited map[ident.Endpoint]*rateLimit
 	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
 	departed map[Incarnation]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
@@ -71,8 +78,15 @@
 	if config.OnEvent == nil {
 		config.OnEvent = func(Event) {}
 	}
+	if config.Share == nil {
+		config.Share = func() sharedrate.Share { return sharedrate.Share{Count: 1} }
+	}
+	if config.AgreedTime == nil {
+		config.AgreedTime = time.Now
+	}
 	return &Registry{
-		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
+		limited: make(map[ident.Endpoint]*rateLimit),
+		config:  config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
 		departed: make(map[Incarnation]clock.Reading),
 		ready:    make(map[ident.Pool][]*Server),
 	}
@@ -145,8 +159,9 @@
 	Server platform.Server
 	// Pause is for how long a paused server wants no requests.
 	Pause time.Duration
-	// PerSecond is the rate that a limited server accepts from all instances together.
-	PerSecond float64
+	// Rate is the rate that a limited server accepts from all instances together, and FromPeer whether another instance received that.
+	Rate     sharedrate.Rate
+	FromPeer bool
 }
 
 // Update applies changed and removed registrations; complete means that registrations holds all that exist.
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/process/table"
 	"vanillapond/internal/process/usage"
 	"vanillapond/pkg/ident"
@@ -105,6 +106,15 @@
 	peers []Peer
 	// fleetSize is the number of live instances, including this one; guarded by mu.
 	fleetSize int
+	// read is set once all rows were read; guarded by mu.
+	read bool
+	// writtenAt is when the own row was last written, or the registry was created; guarded by mu.
+	writtenAt clock.Reading
+	// heard holds when a datagram of each process last arrived, for at least heardTimeout; guarded by mu.
+	heard map[ident.Process]clock.Reading
+	// share is this instance's share as of shareAt, which is 0 if it must be computed anew; guarded by mu.
+	share   sharedrate.Share
+	shareAt clock.Reading
 	// estimator computes the agreed time; guarded by mu.
 	estimator clockEstimator
 	// sequence is the sequence number of the last row written; guarded by mu.
@@ -127,7 +137,10 @@
 	if config.Wall == nil {
 		config.Wall = time.Now
 	}
-	return &Registry{config: config, observed: make(map[table.Key]observation), fleetSize: 1}
+	return &Registry{
+		config: config, observed: make(map[table.Key]observation), fleetSize: 1, writtenAt: config.Now(),
+		heard: make(map[ident.Process]clock.Reading),
+	}
 }
 
 // Key returns the key of this instance's own row.
@@ -203,6 +216,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.writeFailed = err != nil
+	if err == nil {
+		r.writtenAt = r.config.Now()
+	}
 	return err
 }
 
@@ -273,6 +289,7 @@
 	}
 	r.peers = peers
 	r.fleetSize = len(peers) + 1
+	r.read, r.shareAt = true, 0
 	r.estimator.updateMedian(offsets)
 }
 
--- a/internal/request/forward/announce.go
+++ b/internal/request/forward/announce.go
@@ -7,11 +7,12 @@
 
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/sharedrate"
 	"vanillapond/platform"
 )
 
-// resumeSpread is the time, as a fraction of the remaining pause, over which the callers return that were refused because all
-// servers had asked for a pause.
+// resumeSpread is the time, as a fraction of the wait, over which the callers return that were refused because all servers had asked for
+// a pause or have rate limits.
 const resumeSpread = 0.25
 
 // applyAnnouncements applies what a server says about itself in a response: that it leaves, how many requests it takes, or that it wants none for a while.
@@ -44,16 +45,21 @@
 		config.OnInvalidLimit(server.ID, err)
 	case named || response.Header.Get(platform.HeaderNotExecuted) == "":
 		config.Servers.ObserveLimit(servers.LimitStatement{
-			Server: server.Incarnation(), Limited: named, PerSecond: rate, SentAt: c.sentAt, ReceivedAt: config.Now(),
+			Server: server.Incarnation(), Limited: named, Rate: sharedrate.Rate(rate), SentAt: c.sentAt, ReceivedAt: config.Now(),
 		})
 	}
 }
 
 // serversRetryAfter returns the Retry-After of a request that no server accepts. If servers have asked for a pause, callers return
-// after the first one has ended, spread in time so that they don't overload that server.
+// after the first one has ended; if all have rate limits, not before the service takes another request. Both are spread in time so that the
+// callers don't return at once.
 func (c *call) serversRetryAfter() time.Duration {
-	remaining := c.forwarder.config.Servers.UntilResumed(c.service)
-	if ready, _ := c.forwarder.config.Servers.Ready(c.service); len(ready) > 0 || remaining <= noServerRetryAfter {
+	registry := c.forwarder.config.Servers
+	remaining := registry.TurnInterval(c.service)
+	if ready, _ := registry.Ready(c.service); len(ready) == 0 {
+		remaining = registry.UntilResumed(c.service)
+	}
+	if remaining <= noServerRetryAfter {
 		return noServerRetryAfter
 	}
 	return remaining + time.Duration(resumeSpread*rand.Float64()*float64(remaining)) //nolint:gosec // Only spreads load.
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -149,9 +149,13 @@
 	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
 		return c.candidates(ready, table)
 	})
+	c.query.Exclude = c.forwarder.config.Servers.WithoutTurn()
 	choice, found := balancer.Pick(now, c.query)
 	if !found {
 		reason := "no server takes work"
+		if len(ready) > 0 && len(c.query.Exclude) > 0 {
+			reason = "servers take no more requests a second"
+		}
 		if c.mayHaveRun {
 			reason = "server gave no whole answer and no other takes work"
 		}
@@ -168,10 +172,16 @@
 		// The server was removed or stopped accepting requests since the list was read.
 		return undelivered
 	}
+	hasTurn, ok := c.forwarder.config.Servers.TakeTurn(server.ID)
+	if !ok {
+		// Another request of this instance took the turn.
+		c.query.Avoid = append(c.query.Avoid, choice.Server)
+		return undelivered
+	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	attempt := balancer.StartAttempt(now, c.query, choice)
 	c.breakCause, c.attemptAt, c.firstEventAt = nil, now, time.Time{}
-	result, serverResult := c.exchange(server, attempt)
+	result, serverResult := c.exchange(server, attempt, hasTurn)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
 		Choice: choice, Outcome: attemptResultNames[result], Duration: time.Since(now), Cause: c.breakCause,
@@ -224,8 +234,8 @@
 	return nil
 }
 
-// exchange sends the request to a server and relays the response.
-func (c *call) exchange(server *servers.Server, attempt *placement.Attempt) (attemptResult, placement.Result) {
+// exchange sends the request to a server and relays the response. hasTurn means that the request has a turn at a server with a rate limit.
+func (c *call) exchange(server *servers.Server, attempt *placement.Attempt, hasTurn bool) (attemptResult, placement.Result) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	c.sentAt = c.forwarder.config.Now()
@@ -233,7 +243,7 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(),
-		Confirm:    func() bool { return c.forwarder.config.Servers.Accepts(server) },
+		Confirm:    func() bool { return c.confirm(server, hasTurn) },
 	})
 	if err != nil {
 		return c.handleSendError(err, server)
@@ -252,6 +262,17 @@
 	return c.relay(response, server, attempt)
 }
 
+// confirm reports whether the request may still be sent to a server, which may have changed while the request waited for a connection.
+func (c *call) confirm(server *servers.Server, hasTurn bool) bool {
+	if !c.forwarder.config.Servers.Accepts(server) {
+		return false
+	}
+	if !hasTurn {
+		_, hasTurn = c.forwarder.config.Servers.TakeTurn(server.ID)
+	}
+	return hasTurn
+}
+
 // handleSendError returns the results of an attempt that ended without a response head.
 func (c *call) handleSendError(err error, server *servers.Server) (attemptResult, placement.Result) {
 	var failure *direct.Error
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -52,6 +52,8 @@
 	MaxPause time.Duration
 	// Avoid holds the servers that the request was already sent to.
 	Avoid []ident.Endpoint
+	// Exclude holds the servers that must not get the request now for other reasons.
+	Exclude []ident.Endpoint
 }
 
 // Choice is the server picked for a request, with the estimates that led to it.
@@ -230,14 +232,15 @@
 	return count
 }
 
-// collectEligible sets eligible to the members that are neither in query.Avoid nor ejected. If all members outside of
-// query.Avoid are ejected, it sets eligible to these.
+// collectEligible sets eligible to the members that are neither in query.Avoid, nor in query.Exclude, nor ejected. If all other members
+// are ejected, it sets eligible to these.
 func (b *Balancer) collectEligible(now time.Time, query Query) {
 	b.eligible = b.eligible[:0]
 	prefilled := b.prefilledSince(now)
 	for _, ejected := range []bool{false, true} {
 		for _, candidate := range b.members {
-			if candidate.health.ejected(now) != ejected || slices.Contains(query.Avoid, candidate.ID) {
+			if candidate.health.ejected(now) != ejected || slices.Contains(query.Avoid, candidate.ID) ||
+				slices.Contains(query.Exclude, candidate.ID) {
 				continue
 			}
 			candidate.load = candidate.remote
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -53,6 +53,8 @@
 	Answer bool `cbor:"9,keyasint,omitempty"`
 	// Quarantine is what the sender knows of prompt parts that crash servers.
 	Quarantine quarantine.Report `cbor:"10,keyasint"`
+	// Limits are the servers' rate limits that responses to the sender named.
+	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -100,6 +102,7 @@
 			continue
 		}
 		now := time.Now()
+		g.router.peers.Hear(received.Process)
 		if !received.Answer && received.Version < g.router.configuration.Version() {
 			g.answerNewcomer(from)
 		}
@@ -118,6 +121,7 @@
 		for _, leaving := range received.Leaving {
 			g.router.servers.MarkLeaving(leaving)
 		}
+		g.mergeLimits(received)
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
 				usage.InstanceCounts{Counts: received.Usage, Until: time.UnixMilli(received.UsageUntilMS)})
@@ -125,6 +129,17 @@
 	}
 }
 
+// mergeLimits applies what a peer knows of servers' rate limits.
+func (g *gossip) mergeLimits(received message) {
+	for _, report := range received.Limits {
+		if err := report.Check(); err != nil {
+			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
+			return
+		}
+		g.router.servers.MergeLimit(report)
+	}
+}
+
 // answerNewcomer sends a message to an instance that is behind and whose row this one has not read yet. An instance that starts
 // thereby learns at once what the others know.
 func (g *gossip) answerNewcomer(from netip.AddrPort) {
@@ -173,6 +188,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
+		Limits: r.servers.LimitReports(),
 	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -215,7 +215,7 @@
 	r.metrics.countAnnouncement(event.Name)
 	_, ready := r.servers.Counts()
 	r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
-		"pause", event.Pause, "per_second", event.PerSecond, "ready", ready)
+		"pause", event.Pause, "rate", event.Rate, "from_peer", event.FromPeer, "ready", ready)
 }
 
 // recordInvalid returns a function that logs and counts a response with an invalid announcement.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -24,6 +24,7 @@
 	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/peers"
 	"vanillapond/internal/process/quarantine"
+	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/forward"
@@ -134,6 +135,7 @@
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
 		MinOutage: minOutageHeartbeats * settings.Heartbeat,
 		OnEvent:   func(event servers.Event) { r.recordAnnouncement(event) },
+		Share:     func() sharedrate.Share { return r.peers.Share() }, AgreedTime: func() time.Time { return r.peers.AgreedTime() },
 	})
 	address, err := netip.ParseAddr(settings.Address)
 	if err != nil {
