Instances that start together do not each use all of what the fleet shares

Until an instance had read the others' rows it took itself for a fleet of one, and a read before its own write cannot show instances that start at the same moment. Each of them would use half of the retry budget's fixed part, four fifths of a server's connections, and all turns of a rate. Change: the fleet counts as known after a read that began after the own row was written; the first rounds write and then read. Before that an instance has no turns, none of the budget's fixed part, and the minimum of connections. If it can read but not write, it gets turns as an isolated one. Evidence: TestSharesOfInstancesThatStartTogether, TestShareWithoutOwnRow and TestBudgetBeforeFleetIsKnown failed before.

--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -106,8 +106,11 @@
 	peers []Peer
 	// fleetSize is the number of live instances, including this one; guarded by mu.
 	fleetSize int
-	// read is set once all rows were read; guarded by mu.
-	read bool
+	// read is set once all rows were read, and fleetKnown once they were read after the own row had been written: of any two instances, at
+	// least one then knows the other. Guarded by mu.
+	read, fleetKnown bool
+	// written is set once the own row was written; guarded by mu.
+	written bool
 	// writtenAt is when the own row was last written, or the registry was created; guarded by mu.
 	writtenAt clock.Reading
 	// heard holds when a datagram of each process last arrived, for at least heardTimeout; guarded by mu.
@@ -181,22 +184,30 @@
 	return interval
 }
 
-// Run writes the own row at each heartbeat and regularly reads all rows, until the context is done.
+// Run writes the own row at each heartbeat and regularly reads all rows, until the context is done. It reads them before the first write, for
+// the agreed time, and soon after it.
 func (r *Registry) Run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		if round%heartbeatsPerRead == 0 {
-			if _, err := r.Read(ctx); err != nil {
-				r.config.Log("entries_unread", "err", err)
-			}
+		if round == 0 {
+			r.logRead(ctx)
 		}
 		if err := r.Write(ctx, false); err != nil && ctx.Err() == nil {
 			r.config.Log("entry_unwritten", "err", err)
 		}
+		if round%heartbeatsPerRead == 0 {
+			r.logRead(ctx)
+		}
 		interval := r.HeartbeatInterval()
 		clock.Sleep(ctx, interval-interval/8+rand.N(interval/4), nil) //nolint:gosec // Spreads load only.
 	}
 }
 
+func (r *Registry) logRead(ctx context.Context) {
+	if _, err := r.Read(ctx); err != nil {
+		r.config.Log("entries_unread", "err", err)
+	}
+}
+
 // Write writes the own row into the store.
 func (r *Registry) Write(ctx context.Context, draining bool) error {
 	r.mu.Lock()
@@ -217,7 +228,7 @@
 	defer r.mu.Unlock()
 	r.writeFailed = err != nil
 	if err == nil {
-		r.writtenAt = r.config.Now()
+		r.writtenAt, r.written = r.config.Now(), true
 	}
 	return err
 }
@@ -232,6 +243,9 @@
 // Read reads all rows and returns them; rows that are invalid or cannot be decoded are logged and skipped.
 func (r *Registry) Read(ctx context.Context) (map[table.Key]Row, error) {
 	start := r.config.Now()
+	r.mu.Lock()
+	written := r.written
+	r.mu.Unlock()
 	batch, err := r.config.Feed.List(ctx, TableName)
 	if err != nil {
 		return nil, err
@@ -256,6 +270,7 @@
 	defer r.mu.Unlock()
 	r.estimator.observeStore(now, now.Sub(start)/2, batch.ServiceTime, wall)
 	r.applyRows(now, rows, revisions)
+	r.fleetKnown = r.fleetKnown || written
 	return rows, nil
 }
 
--- a/internal/process/peers/share.go
+++ b/internal/process/peers/share.go
@@ -27,7 +27,7 @@
 	r.heard[from] = r.config.Now()
 }
 
-// Share returns this instance's share of what all instances divide among themselves.
+// Share returns this instance's share of what all instances divide among themselves. Its Count is 0 until the instance knows the others.
 //
 // An instance counts if its row in the store is fresh or if it was heard, so that one that is cut off from the store keeps its share. All
 // incarnations of a process count once.
@@ -35,7 +35,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Now()
-	if !r.read {
+	dropAfter := maxMissedHeartbeats * r.config.heartbeatInterval(r.fleetSize)
+	unwritten := now.Sub(r.writtenAt) > time.Duration(isolatedFraction*float64(dropAfter))
+	if !r.fleetKnown && !(r.read && unwritten) {
 		return sharedrate.Share{}
 	}
 	if r.shareAt != 0 && now.Sub(r.shareAt) < shareLifetime {
@@ -59,8 +61,6 @@
 	}
 	slices.Sort(processes)
 	processes = slices.Compact(processes)
-	dropAfter := maxMissedHeartbeats * r.config.heartbeatInterval(r.fleetSize)
-	unwritten := now.Sub(r.writtenAt) > time.Duration(isolatedFraction*float64(dropAfter))
 	rank, _ := slices.BinarySearch(processes, r.config.Process)
 	r.share = sharedrate.Share{Rank: rank, Count: len(processes), Isolated: unwritten && unheard}
 	r.shareAt = now
--- a/internal/process/peers/share_test.go
+++ b/internal/process/peers/share_test.go
@@ -95,3 +95,36 @@
 	a.Hear("b")
 	is.Equal(a.Share(), sharedrate.Share{Rank: 0, Count: 2})
 }
+
+// TestSharesOfInstancesThatStartTogether checks that instances that start at the same moment don't each take all of what they share: none
+// can know the others by what it reads before it has written its own row.
+func TestSharesOfInstancesThatStartTogether(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := &shareFleet{Table: table.NewMemory(), now: clock.Reading(time.Hour)}
+	a, b := f.instance("a", "a-1"), f.instance("b", "b-1")
+	for _, instance := range []*Registry{a, b} {
+		_, err := instance.Read(context.Background())
+		is.NoErr(err)
+	}
+	is.Equal(a.Share(), sharedrate.Share{})
+	is.Equal(b.Share(), sharedrate.Share{})
+	f.beat(a, b)
+	is.Equal(a.Share().Count, 2)
+	is.Equal(b.Share().Count, 2)
+}
+
+// TestShareWithoutOwnRow checks that an instance that can read the others' rows, but not write its own, gets turns as an isolated one does:
+// otherwise it would never learn that a limit has ended.
+func TestShareWithoutOwnRow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := &shareFleet{Table: table.NewMemory(), now: clock.Reading(time.Hour)}
+	a, b := f.instance("a", "a-1"), f.instance("b", "b-1")
+	f.beat(b)
+	_, err := a.Read(context.Background())
+	is.NoErr(err)
+	is.Equal(a.Share(), sharedrate.Share{})
+	f.now = f.now.Add(3500 * time.Millisecond)
+	is.Equal(a.Share(), sharedrate.Share{Rank: 0, Count: 2, Isolated: true})
+}
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -71,12 +71,19 @@
 
 // startRouters starts routers and one server, which responds with its id after the delay given as the last path segment.
 func startRouters(t *testing.T, count int) *harness {
+	t.Helper()
+	return startRoutersAfter(t, count, func(*harness) {})
+}
+
+// startRoutersAfter does the same after it has called prepare, when the store runs.
+func startRoutersAfter(t *testing.T, count int, prepare func(*harness)) *harness {
 	t.Helper()
 	h := &harness{store: platformtest.NewStore(), duties: platformtest.NewDuties()}
 	t.Cleanup(h.store.Close)
 	t.Cleanup(h.duties.Close)
 	h.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration(1, "right"))
 	h.startServer(t, "i-1")
+	prepare(h)
 	for index := range count {
 		settings := platform.Settings{
 			Process: ident.Process("front-" + string(rune('a'+index))), Address: "127.0.0.1", Domain: "a",
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -252,7 +252,7 @@
 		if service == nil || service.MaxConnections <= 0 {
 			return minConnections
 		}
-		return max(int(connectionFraction*float64(service.MaxConnections))/r.peers.FleetSize(), minConnections)
+		return max(int(connectionFraction*float64(service.MaxConnections))/r.instances(), minConnections)
 	}
 	return direct.New(direct.Config{
 		Address: server.Address, MaxConnections: limit, DialTimeout: dialTimeout, OnDial: r.metrics.countDial,
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -218,10 +218,22 @@
 	bounds := r.settings.Bounds
 	return retry.New(retry.Config{
 		Ratio: retryFraction * bounds.RetryRatio, Extra: retryFraction * bounds.RetryExtra, Window: bounds.RetryWindow,
-		Instances: r.peers.FleetSize,
+		Instances: r.instances,
 	})
 }
 
+// unknownFleet is more than the instances of any fleet.
+const unknownFleet = 1 << 20
+
+// instances returns the number of instances that share a limit. Before the others are known it is unknownFleet: instances that start together
+// must not each use all of it.
+func (r *Router) instances() int {
+	if count := r.peers.Share().Count; count > 0 {
+		return count
+	}
+	return unknownFleet
+}
+
 // retriesRemaining returns how many retries the budget allows now, by service.
 func (r *Router) retriesRemaining(now time.Time) map[ident.Pool]float64 {
 	remaining := make(map[ident.Pool]float64)
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -310,3 +310,23 @@
 	is.True(strings.Contains(h.logs[0].String(), "event=reload outcome=read changed=1 fields=[Bounds.Revoke]"))
 	is.True(strings.Contains(h.logs[0].String(), "event=reload outcome=kept"))
 }
+
+// TestBudgetBeforeFleetIsKnown checks that a router that cannot tell yet how many others there are uses nothing of the retries that all of
+// them share: many that start together would each use most of it.
+func TestBudgetBeforeFleetIsKnown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRoutersAfter(t, 1, func(h *harness) {
+		h.store.InjectFaults(func(path string, _ int) platformtest.Fault {
+			if path == storewire.PathCommit {
+				return platformtest.Refuse
+			}
+			return 0
+		})
+	})
+	code, _ := h.send(0, "/p/x", "right")
+	is.Equal(code, http.StatusOK)
+	is.True(h.state(t, 0).RetriesRemaining["s"] < 1)
+	h.store.ClearFaults()
+	h.stop()
+}
