--- a/internal/process/peers/share.go
+++ b/internal/process/peers/share.go
@@ -37,7 +37,7 @@
 	now := r.config.Now()
 	dropAfter := maxMissedHeartbeats * r.config.heartbeatInterval(r.fleetSize)
 	unwritten := now.Sub(r.writtenAt) > time.Duration(isolatedFraction*float64(dropAfter))
-	if !r.fleetKnown && !(r.read && unwritten) {
+	if !r.fleetKnown && (!r.read || !unwritten) {
 		return sharedrate.Share{}
 	}
 	if r.shareAt != 0 && now.Sub(r.shareAt) < shareLifetime {
