Instances take turns at servers that warm up

How many requests a second a server takes while it warms up is in the configuration and in its registration, and no instance kept it: each finds the new server empty and sends it what it has, so that it crashes. Change: servers.Registry keeps a limiter for each server that warms up, with the tolerance from the settings; the same turns as for rate limits. A registration that is read again does not begin the time anew. Evidence: TestWarmingServerIsNotFlooded (1, 4 and 30 instances) fails without the limiter, and with the time begun anew.

--- a/internal/connection/servers/limit.go
+++ b/internal/connection/servers/limit.go
@@ -1,11 +1,8 @@
 package servers
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/sharedrate"
 	"vanillapond/pkg/ident"
@@ -116,77 +113,16 @@
 	}
 }
 
-// limiterConfig returns the configuration of the limiter for a server.
+// limiterConfig returns the configuration of the limiter for a server with a rate limit.
 func limiterConfig(id ident.Endpoint) sharedrate.Config {
 	return sharedrate.Config{
-		Window: platform.RateLimitWindow, Overage: platform.RateLimitOverage, Slack: platform.RateLimitSlack,
-		Offset: float64(xxhash.Sum64String(string(id))) / math.MaxUint64,
+		Window: platform.RateLimitWindow, Overage: platform.RateLimitOverage, Slack: platform.RateLimitSlack, Offset: turnOffset(id),
 	}
 }
 
-// RateLimited reports whether a server has a rate limit.
+// RateLimited reports whether a server has named a rate limit that holds.
 func (r *Registry) RateLimited(id ident.Endpoint) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.limited[id] != nil
 }
-
-// WithoutTurn returns the servers to which this instance must send no request now, because of their rate limits.
-func (r *Registry) WithoutTurn() []ident.Endpoint {
-	r.mu.RLock()
-	limited := len(r.limited)
-	r.mu.RUnlock()
-	if limited == 0 {
-		return nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	share, now := r.config.Share(), r.config.AgreedTime()
-	var without []ident.Endpoint
-	for id, limit := range r.limited {
-		if !limit.limiterAt(now, share).Available(now) {
-			without = append(without, id)
-		}
-	}
-	return without
-}
-
-// TakeTurn reports whether this instance may send a request to a server now. If the server has a rate limit, that uses a turn.
-func (r *Registry) TakeTurn(id ident.Endpoint) (limited, ok bool) {
-	if !r.RateLimited(id) {
-		return false, true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	limit := r.limited[id]
-	if limit == nil {
-		return false, true
-	}
-	now := r.config.AgreedTime()
-	return true, limit.limiterAt(now, r.config.Share()).Take(now)
-}
-
-// TurnInterval returns the mean time between two requests that a service takes if all of its servers have rate limits, 0 otherwise.
-func (r *Registry) TurnInterval(service ident.Pool) time.Duration {
-	ready, _ := r.Ready(service)
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	sum := sharedrate.Rate(0)
-	for _, server := range ready {
-		limit := r.limited[server.ID]
-		if limit == nil {
-			return 0
-		}
-		sum += max(limit.latest.Rate, sharedrate.MinRate)
-	}
-	if sum == 0 {
-		return 0
-	}
-	return time.Duration(float64(time.Second) / float64(sum))
-}
-
-// limiterAt returns the limiter with the limit and share that hold now.
-func (l *rateLimit) limiterAt(now time.Time, share sharedrate.Share) *sharedrate.Limiter {
-	l.limiter.Set(now, l.latest.Rate, share)
-	return l.limiter
-}
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -39,6 +39,8 @@
 	OnEvent func(Event)
 	// Share returns this instance's share of the rates that servers accept from all instances together; nil means all of them.
 	Share func() sharedrate.Share
+	// WarmupLimit returns the limit of a service's servers while they warm up; nil means none.
+	WarmupLimit func(ident.Pool) WarmupLimit
 	// AgreedTime returns the time of day as all instances see it; nil means time.Now.
 	AgreedTime func() time.Time
 	// Now returns the current time; nil means clock.Boot.
@@ -55,6 +57,8 @@
 	announcements map[ident.Endpoint]*announcement
 	// limited holds the servers that have a rate limit; it is a subset of announcements. Guarded by mu.
 	limited map[ident.Endpoint]*rateLimit
+	// warming holds the servers that have started recently; guarded by mu.
+	warming map[ident.Endpoint]*warmup
 	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
 	departed map[Incarnation]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
@@ -81,12 +85,15 @@
 	if config.Share == nil {
 		config.Share = func() sharedrate.Share { return sharedrate.Share{Count: 1} }
 	}
+	if config.WarmupLimit == nil {
+		config.WarmupLimit = func(ident.Pool) WarmupLimit { return WarmupLimit{} }
+	}
 	if config.AgreedTime == nil {
 		config.AgreedTime = time.Now
 	}
 	return &Registry{
-		limited: make(map[ident.Endpoint]*rateLimit),
-		config:  config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
+		limited: make(map[ident.Endpoint]*rateLimit), warming: make(map[ident.Endpoint]*warmup),
+		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
 		departed: make(map[Incarnation]clock.Reading),
 		ready:    make(map[ident.Pool][]*Server),
 	}
@@ -196,6 +203,7 @@
 func (r *Registry) register(events []Event, registration platform.Server) []Event {
 	registration = r.withAnnouncement(registration)
 	old := r.servers[registration.ID]
+	r.recordWarmup(old, registration)
 	if old == nil {
 		r.servers[registration.ID] = &Server{Server: registration, Pool: r.config.NewPool(registration)}
 		return append(events, Event{Name: "joined", Server: registration})
@@ -258,6 +266,7 @@
 		server.Pool.Trim(wall)
 	}
 	r.sweepAnnouncements()
+	r.sweepWarming()
 	r.sweepDeparted()
 	if len(events) > 0 {
 		r.rebuildReady()
--- a/internal/process/sharedrate/sharedrate.go
+++ b/internal/process/sharedrate/sharedrate.go
@@ -38,8 +38,8 @@
 	lapseFraction = 1.0 / 3
 	// isolatedFraction is the fraction of its turns that an isolated instance uses. Without any, it would not learn that a limit has ended.
 	isolatedFraction = 0.25
-	// MinRate is the lowest rate that is kept: some request must show whether the limit still holds.
-	MinRate Rate = 0.25
+	// minRate is the lowest rate that is kept: some request must show whether the limit still holds.
+	minRate Rate = 0.25
 )
 
 // Limiter limits one instance's requests to its share of a rate. It does no I/O and reads no clock; it is not safe for concurrent use.
@@ -56,7 +56,7 @@
 
 // Set sets the rate and the share. If one of them changes, the instance waits for the next turn. now is the common clock of all instances.
 func (l *Limiter) Set(now time.Time, rate Rate, share Share) {
-	rate = max(rate, MinRate)
+	rate = max(rate, minRate)
 	if rate == l.rate && share == l.share {
 		return
 	}
@@ -64,6 +64,9 @@
 	l.used = l.turn(now)
 }
 
+// Rate returns the rate of all instances together.
+func (l *Limiter) Rate() Rate { return l.rate }
+
 // Available reports whether the instance may send a request now.
 func (l *Limiter) Available(now time.Time) bool { return l.remaining(now) > 0 }
 
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -133,9 +133,10 @@
 	})
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
-		MinOutage: minOutageHeartbeats * settings.Heartbeat,
-		OnEvent:   func(event servers.Event) { r.recordAnnouncement(event) },
-		Share:     func() sharedrate.Share { return r.peers.Share() }, AgreedTime: func() time.Time { return r.peers.AgreedTime() },
+		MinOutage:   minOutageHeartbeats * settings.Heartbeat,
+		OnEvent:     func(event servers.Event) { r.recordAnnouncement(event) },
+		WarmupLimit: r.warmupLimit,
+		Share:       func() sharedrate.Share { return r.peers.Share() }, AgreedTime: func() time.Time { return r.peers.AgreedTime() },
 	})
 	address, err := netip.ParseAddr(settings.Address)
 	if err != nil {
@@ -222,6 +223,19 @@
 	})
 }
 
+// warmupLimit returns the limit of a service's servers while they warm up.
+func (r *Router) warmupLimit(name ident.Pool) servers.WarmupLimit {
+	routeTable, bounds := r.configuration.Table(), r.bounds()
+	if routeTable == nil || bounds.WarmupOverage < 1 {
+		return servers.WarmupLimit{}
+	}
+	service := routeTable.Service(name)
+	if service == nil {
+		return servers.WarmupLimit{}
+	}
+	return servers.WarmupLimit{Rate: sharedrate.Rate(service.WarmupRate), Overage: bounds.WarmupOverage, Slack: bounds.WarmupSlack}
+}
+
 // unknownFleet is more than the instances of any fleet.
 const unknownFleet = 1 << 20
 
