--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -128,6 +128,8 @@
 	Parts []quarantine.Part
 	// QuarantinedPart is the part for which the request was refused, or let through as a trial; 0 if it has none.
 	QuarantinedPart quarantine.Part
+	// Resumes is the id of the caller's request that began the stream which this one takes up; empty if it takes up none.
+	Resumes string
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
 	LongestPause, MaxPause time.Duration
 }
@@ -137,7 +139,9 @@
 
 // Attempt is one attempt to run a request on a server.
 type Attempt struct {
-	Choice   placement.Choice
+	Choice placement.Choice
+	// Software is the version of the server's software; empty if the request was not sent.
+	Software ident.Software
 	Outcome  string
 	Duration time.Duration
 	// Cause is why the server's connection broke, nil if it did not.
@@ -196,6 +200,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{forwarder: f, writer: w, request: r, arrived: time.Now(), record: Record{
 		ID: r.Header.Get(platform.HeaderRequestID), Host: truncate(r.Host), Path: truncate(r.URL.EscapedPath()),
+		Resumes: truncate(r.Header.Get(platform.HeaderResumes)),
 	}}
 	defer func() {
 		c.record.Duration = time.Since(c.arrived)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -184,7 +184,7 @@
 	result, serverResult := c.exchange(server, attempt, hasTurn)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
-		Choice: choice, Outcome: attemptResultNames[result], Duration: time.Since(now), Cause: c.breakCause,
+		Choice: choice, Software: server.Software, Outcome: attemptResultNames[result], Duration: time.Since(now), Cause: c.breakCause,
 	})
 	return result
 }
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -206,7 +206,7 @@
 	}
 	for _, event := range events {
 		r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
-			"domain", event.Server.Domain, "state", event.Server.State, "known", known, "ready", ready)
+			"domain", event.Server.Domain, "state", event.Server.State, "software", event.Server.Software, "known", known, "ready", ready)
 	}
 }
 
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -213,7 +213,7 @@
 	broken := false
 	for _, attempt := range record.Attempts {
 		pairs = append(pairs,
-			"server", attempt.Choice.Server, "sent", attempt.Outcome, "sent_ms", attempt.Duration.Milliseconds(),
+			"server", attempt.Choice.Server, "software", attempt.Software, "sent", attempt.Outcome, "sent_ms", attempt.Duration.Milliseconds(),
 			"usable", attempt.Choice.Usable,
 			"expected_ms", attempt.Choice.TimeToFirstEvent.Milliseconds(), "active", attempt.Choice.Load.Active,
 			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
@@ -230,6 +230,9 @@
 	if record.QuarantinedPart != 0 {
 		pairs = append(pairs, "part", strconv.FormatUint(uint64(record.QuarantinedPart), 16))
 	}
+	if record.Resumes != "" {
+		pairs = append(pairs, "resumes", record.Resumes)
+	}
 	if record.Route == "" {
 		pairs = append(pairs, "host", record.Host, "path", record.Path)
 	}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -57,6 +57,9 @@
 // Version is the version number of the configuration; it only increases.
 type Version int64
 
+// Software is the version of a server's software. Versions are only equal or different; they have no order.
+type Software string
+
 // Fence is a fencing number: each new holder of a lease gets a greater one, so that orders of earlier holders can be refused.
 type Fence int64
 
