--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -29,6 +29,8 @@
 type harness struct {
 	current *routes.Current
 	servers *servers.Registry
+	// registered are the servers.
+	registered []platform.Server
 	// now is the forwarder's clock; guarded by mu.
 	now     clock.Reading
 	started map[ident.Customer]int
@@ -121,16 +123,15 @@
 	})
 	h.current.Advance(configuration(1))
 	h.current.Confirm(h.now, 1)
-	var registered []platform.Server
 	for index, handler := range handlers {
 		backend := httptest.NewServer(handler)
 		t.Cleanup(backend.CloseClientConnections)
-		registered = append(registered, platform.Server{
+		h.registered = append(h.registered, platform.Server{
 			ID: ident.Endpoint("i" + strconv.Itoa(index)), Service: "plain", Address: backend.Listener.Addr().String(),
 			State: platform.ServerReady, Slots: 4,
 		})
 	}
-	h.servers.Update(registered, nil, true)
+	h.servers.Update(h.registered, nil, true)
 	balancer, controller := placement.New(1), &admission.Controller{}
 	budget := retry.New(retry.Config{Ratio: 0, Extra: extra, Window: 10 * time.Second, Instances: func() int { return 0 }})
 	var crashes servers.CrashDetector
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -63,6 +63,10 @@
 				Name: "open", Host: host, PathPrefix: "/o/", Kind: platform.Idempotent, Timeout: 3000, Service: "s", MaxServers: 2,
 				AuthExempt: true,
 			},
+			{
+				Name: "stream", Host: host, PathPrefix: "/stream/", Kind: platform.Streaming, Timeout: 10_000, Service: "s", MaxServers: 2,
+				Resumable: true,
+			},
 		},
 		Services:  []platform.Service{{Name: "s", MaxConnections: 50}},
 		Customers: []platform.Customer{{Name: "school", Keys: keys}},
--- /dev/null
+++ b/internal/role/router/software_test.go
@@ -0,0 +1,126 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+// startStreamServer starts and registers a server with a software version. It sends the first three events of a stream and waits for the
+// caller to leave, and completes a stream that is taken up; each event holds the software version.
+func (h *harness) startStreamServer(t *testing.T, id ident.Endpoint, software ident.Software) {
+	t.Helper()
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set(platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID))
+		w.Header().Set(platform.HeaderSignature, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		first, last := 1, 3
+		if request.Header.Get(platform.HeaderLastEventID) != "" {
+			first, last = 4, 5
+		}
+		for event := first; event <= last; event++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, software)
+		}
+		_ = http.NewResponseController(w).Flush()
+		if last == 3 {
+			<-request.Context().Done()
+		}
+	}))
+	t.Cleanup(backend.Close)
+	h.store.Put(platform.ServersTable, string(id), platform.Server{
+		Service: "s", Address: backend.Listener.Addr().String(), Domain: "a", State: platform.ServerReady, Slots: 4, StartedUnixMS: 1,
+		Software: software,
+	})
+}
+
+// stream sends a stream request to a router, and returns the status, the software versions of the events until limit of them have come or the
+// stream ends, and the Retry-After of a refusal. It then leaves.
+func (h *harness) stream(t *testing.T, index int, id, resumes string, limit int) (status int, versions []string, retryAfter string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.callerURLs[index]+"/stream/x", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = host
+	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderDeadline, "4000")
+	request.Header.Set("Authorization", platform.KeyScheme+"right")
+	if resumes != "" {
+		request.Header.Set(platform.HeaderResumes, resumes)
+		request.Header.Set(platform.HeaderLastEventID, "3")
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for len(versions) < limit && lines.Scan() {
+		if version, found := strings.CutPrefix(lines.Text(), "data: "); found {
+			versions = append(versions, version)
+		}
+	}
+	return response.StatusCode, versions, response.Header.Get("Retry-After")
+}
+
+// startSoftwareRouters starts routers and two servers of each of two software versions.
+func startSoftwareRouters(t *testing.T, count int) *harness {
+	t.Helper()
+	h := startRouters(t, count)
+	h.store.Delete(platform.ServersTable, "i-1")
+	for index, software := range []ident.Software{"v1", "v2", "v1", "v2"} {
+		h.startStreamServer(t, ident.Endpoint("i-1"+strconv.Itoa(index)), software)
+	}
+	for index := range count {
+		eventually(t, "servers known", func() bool { return len(h.state(t, index).Servers) == 4 })
+		eventually(t, "peers known", func() bool { return len(h.state(t, index).Peers) == count-1 })
+	}
+	return h
+}
+
+// TestStreamTakenUpStaysAtItsSoftwareVersion checks that a stream that its caller takes up again at any router goes on at a server with the
+// software version that began it, also if the router that relayed its beginning has stopped; a router that cannot learn the version refuses
+// at once and says when to come back.
+func TestStreamTakenUpStaysAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const routers, streams = 3, 16
+	h := startSoftwareRouters(t, routers)
+	begun := make([]string, streams)
+	takeUp := func(index, at int) {
+		is := is.New(t)
+		status, versions, _ := h.stream(t, at, fmt.Sprintf("second-%d-%d", index, at), "first-"+strconv.Itoa(index), 2)
+		is.Equal(status, http.StatusOK)
+		is.Equal(versions, []string{begun[index], begun[index]})
+	}
+	for index := range streams {
+		status, versions, _ := h.stream(t, 0, "first-"+strconv.Itoa(index), "", 3)
+		is.Equal(status, http.StatusOK)
+		is.Equal(len(versions), 3)
+		begun[index] = versions[0]
+		takeUp(index, index%routers)
+	}
+	h.routers[0].Stop(context.Background())
+	for index := range streams {
+		takeUp(index, 1+index%2)
+	}
+	status, _, retryAfter := h.stream(t, 1, "second-unknown", "first-unknown", 2)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(retryAfter != "")
+	for _, each := range h.routers[1:] {
+		each.Stop(context.Background())
+	}
+}
