A response goes on only at servers of the software version that began it

Cause: after an interruption any server was picked. Class of fault: a server is taken for as good as another, without asking what made the part that the caller already has. Change: the first event of a stream fixes the version; servers of others are excluded from then on. Without one the response ends as incomplete, so that the caller can take it up again.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -194,6 +194,10 @@
 	// lastEventHasID means that the last event that was relayed is the one with lastEventID.
 	lastEventHasID bool
 	lastEventAt    time.Time
+	// begun is set once the caller has an event of the stream, and software is then the version of the software of the server that sent
+	// its first event: events of different versions don't fit together.
+	begun    bool
+	software ident.Software
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -149,17 +149,10 @@
 	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
 		return c.candidates(ready, table)
 	})
-	c.query.Exclude = c.forwarder.config.Servers.WithoutTurn()
+	c.query.Exclude = c.excluded(ready)
 	choice, found := balancer.Pick(now, c.query)
 	if !found {
-		reason := "no server takes work"
-		if len(ready) > 0 && len(c.query.Exclude) > 0 {
-			reason = "servers take no more requests a second"
-		}
-		if c.mayHaveRun {
-			reason = "server gave no whole answer and no other takes work"
-		}
-		c.refuse(unavailable(reason, c.serversRetryAfter()))
+		c.refuse(unavailable(c.noServerReason(ready), c.serversRetryAfter()))
 		return done
 	}
 	if refused := c.checkAdmission(now, choice); refused != nil {
@@ -168,7 +161,7 @@
 		return done
 	}
 	server := findServer(ready, choice.Server)
-	if server == nil || !c.forwarder.config.Servers.Accepts(server) {
+	if server == nil || !c.forwarder.config.Servers.Accepts(server) || c.begun && server.Software != c.software {
 		// The server was removed or stopped accepting requests since the list was read.
 		return undelivered
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -16,6 +16,7 @@
 type streamRelay struct {
 	call     *call
 	response *direct.Response
+	server   *servers.Server
 	attempt  *placement.Attempt
 	position eventstream.Position
 	// pending is the part of the stream that is not relayed yet: an incomplete event.
@@ -28,7 +29,7 @@
 func (c *call) relayStream(
 	response *direct.Response, server *servers.Server, attempt *placement.Attempt,
 ) (attemptResult, placement.Result) {
-	relay := &streamRelay{call: c, response: response, attempt: attempt}
+	relay := &streamRelay{call: c, response: response, server: server, attempt: attempt}
 	buffer := make([]byte, readSize)
 	for {
 		n, err := response.Read(buffer)
@@ -81,6 +82,7 @@
 		now := time.Now()
 		if !r.started {
 			r.started = true
+			c.beginStream(r.server)
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
 			c.countStart()
