A stream that its caller takes up goes on only at the version that began it

Cause: the instance that got the caller's second request did not know where the stream had begun: another had relayed it, or this one had forgotten. Class of fault: what one instance has seen is needed by all. Change: internal/process/origin remembers the version of each stream; instances tell two others while a service has several versions and ask each other about streams that they don't know. What is not certain is refused at once as not run. Streams that go on are not refused by admission.

--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -133,6 +133,19 @@
 	return slices.Collect(maps.Values(r.servers))
 }
 
+// SoftwareVersions returns the software versions of each service's servers, each once.
+func (r *Registry) SoftwareVersions() map[ident.Pool][]ident.Software {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	versions := make(map[ident.Pool][]ident.Software)
+	for _, server := range r.servers {
+		if !slices.Contains(versions[server.Service], server.Software) {
+			versions[server.Service] = append(versions[server.Service], server.Software)
+		}
+	}
+	return versions
+}
+
 // Listed reports whether a complete list of registrations has been received.
 func (r *Registry) Listed() bool {
 	r.mu.RLock()
--- /dev/null
+++ b/internal/process/origin/origin_test.go
@@ -0,0 +1,102 @@
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/origin"
+	"vanillapond/pkg/ident"
+)
+
+// fresh is the view of an instance that has just read the list of servers.
+var fresh = origin.View{Fresh: true, Confirmed: true}
+
+// originHarness is a registry with a fake clock.
+type originHarness struct {
+	*origin.Registry
+	now clock.Reading
+}
+
+func newOriginHarness() *originHarness {
+	h := &originHarness{now: clock.Reading(time.Hour)}
+	h.Registry = origin.New(origin.Config{
+		Memory: func() time.Duration { return modelMemory }, Now: func() clock.Reading { return h.now },
+	})
+	return h
+}
+
+func (h *originHarness) observe(versions ...ident.Software) {
+	h.ObserveVersions(map[ident.Pool][]ident.Software{modelService: versions})
+}
+
+// TestVersionThatIsGone checks that a service counts as having several versions for as long as a stream of one that has just gone can be
+// taken up, although only one serves.
+func TestVersionThatIsGone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newOriginHarness()
+	h.observe("v1")
+	h.now = h.now.Add(2 * modelMemory)
+	is.Equal(h.Answer("x", modelService, true).Knowledge, origin.SoleVersion)
+	is.Equal(h.Answer("x", modelService, false).Knowledge, origin.Nothing)
+	h.now = h.now.Add(modelMemory / 2)
+	h.observe("v2")
+	is.Equal(h.Answer("x", modelService, true).Knowledge, origin.SeveralVersions)
+	h.now = h.now.Add(modelMemory - time.Second)
+	is.Equal(h.Answer("x", modelService, true).Knowledge, origin.SeveralVersions)
+	h.now = h.now.Add(2 * time.Second)
+	answer := h.Answer("x", modelService, true)
+	is.Equal(answer.Knowledge, origin.SoleVersion)
+	is.Equal(answer.Software, ident.Software("v2"))
+}
+
+// TestAnswersDisagree checks that an instance does not rely on the only version that it has seen if another has seen several, or another one.
+func TestAnswersDisagree(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		answers []origin.Answer
+		certain bool
+	}{
+		{[]origin.Answer{{Knowledge: origin.Nothing}}, true},
+		{[]origin.Answer{{Origin: origin.Origin{Software: "v1"}, Knowledge: origin.SoleVersion}}, true},
+		{[]origin.Answer{{Origin: origin.Origin{Software: "v2"}, Knowledge: origin.SoleVersion}}, false},
+		{[]origin.Answer{{Knowledge: origin.SeveralVersions}}, false},
+		{[]origin.Answer{{Knowledge: origin.Nothing}, {Knowledge: origin.SeveralVersions}}, false},
+	} {
+		is := is.New(t)
+		h := newOriginHarness()
+		h.observe("v1")
+		h.now = h.now.Add(2 * modelMemory)
+		question := h.Ask("x", modelService, len(c.answers))
+		for index, answer := range c.answers {
+			answer.Stream, answer.Service = "x", modelService
+			h.Receive(ident.Process(rune('a'+index)), answer)
+		}
+		<-question.Settled()
+		software, certain := h.Close(question, fresh)
+		is.Equal(certain, c.certain)
+		is.True(!certain || software == "v1")
+	}
+}
+
+// TestStreamsAreToldOnceVersionsDiffer checks that streams that began while a service had one version are told to other instances as soon as it
+// has two, and not before.
+func TestStreamsAreToldOnceVersionsDiffer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newOriginHarness()
+	h.observe("v1")
+	h.now = h.now.Add(2 * modelMemory)
+	h.Begin(origin.Origin{Stream: "old", Service: modelService, Software: "v1"})
+	h.now = h.now.Add(modelMemory + time.Second)
+	h.Begin(origin.Origin{Stream: "recent", Service: modelService, Software: "v1"})
+	is.Equal(len(h.TakeUnshared()), 0)
+	h.observe("v1", "v2")
+	is.Equal(h.TakeUnshared(), []origin.Origin{{Stream: "recent", Service: modelService, Software: "v1"}})
+	is.Equal(len(h.TakeUnshared()), 0)
+	_, found := h.Lookup("old")
+	is.True(!found)
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
@@ -45,6 +46,15 @@
 	Clear(digest uint64)
 }
 
+// Origins knows at which software versions streams began, also those that began at other instances.
+type Origins interface {
+	// Begin records that a stream began, or goes on, at this instance.
+	Begin(stream origin.Origin)
+	// Find returns the version of a service's servers at which a stream began, false if that is not certain. It may ask other instances for
+	// a short time.
+	Find(ctx context.Context, stream ident.Request, service ident.Pool) (ident.Software, bool)
+}
+
 // Config holds the dependencies and limits of a Forwarder.
 type Config struct {
 	Domain  ident.FailureDomain
@@ -63,6 +73,8 @@
 	// no server does.
 	HasCrashed func(server *servers.Server, cause error) bool
 	Usage      UsageCounter
+	// Origins holds where streams began.
+	Origins Origins
 	// MaxKeyAge returns the greatest age of the configuration at which a key that it lists is still accepted, because the key may
 	// have been withdrawn since.
 	MaxKeyAge func() time.Duration
@@ -198,6 +210,8 @@
 	// its first event: events of different versions don't fit together.
 	begun    bool
 	software ident.Software
+	// stream is the id of the caller's request that brought the first event; empty if it is not known.
+	stream ident.Request
 }
 
 // ServeHTTP implements http.Handler.
@@ -226,7 +240,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	c.run()
+	if refused := c.findOrigin(); refused != nil {
+		c.refuse(refused)
+	} else {
+		c.run()
+	}
 	c.endTrial()
 }
 
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/forward"
@@ -111,6 +113,14 @@
 	return h.started[customer]
 }
 
+// anyOrigin says of each stream that it began at servers without a software version, as those of most tests are.
+type anyOrigin struct{}
+
+func (anyOrigin) Begin(origin.Origin) {}
+func (anyOrigin) Find(context.Context, ident.Request, ident.Pool) (ident.Software, bool) {
+	return "", true
+}
+
 // newHarness starts a forwarder and one server for each handler; extra is the number of retries that the budget allows.
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
@@ -137,12 +147,12 @@
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		OnInvalidPause: h.recordInvalidPause,
-		Balancer:       func(ident.Pool) *placement.Balancer { return balancer },
-		Admission:      func(ident.Pool) *admission.Controller { return controller },
-		Budget:         func(ident.Pool) *retry.Budget { return budget },
-		MaxKeyAge:      func() time.Duration { return 4 * time.Second },
-		MaxDenyAge:     func() time.Duration { return 2 * time.Second },
+		OnInvalidPause: h.recordInvalidPause, Origins: anyOrigin{},
+		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
+		Admission:  func(ident.Pool) *admission.Controller { return controller },
+		Budget:     func(ident.Pool) *retry.Budget { return budget },
+		MaxKeyAge:  func() time.Duration { return 4 * time.Second },
+		MaxDenyAge: func() time.Duration { return 2 * time.Second },
 	})
 	front := httptest.NewServer(forwarder)
 	t.Cleanup(front.Close)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -183,9 +183,9 @@
 }
 
 // checkAdmission refuses a request that would miss its objective at the best engine, or that has to make way for requests of
-// higher priority. Retries are not checked again.
+// higher priority. Retries are not checked again, and neither are streams that go on: their caller waits for the rest of what it has.
 func (c *call) checkAdmission(now time.Time, choice placement.Choice) *refusal {
-	if !c.query.Engine || c.serversTried > 0 {
+	if !c.query.Engine || c.serversTried > 0 || c.begun {
 		return nil
 	}
 	decision := c.forwarder.config.Admission(c.service).Decide(now, admission.PriorityLevel(c.query.PriorityLevel), admission.Request{
--- a/internal/request/forward/software.go
+++ b/internal/request/forward/software.go
@@ -2,13 +2,39 @@
 
 import (
 	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/origin"
 	"vanillapond/pkg/ident"
+	"vanillapond/platform"
 )
 
-// beginStream records the software version of the server that sent the first event of the stream.
+// takesUp reports whether the caller takes up a stream of which it has events.
+func (c *call) takesUp() bool {
+	return c.mayRunTwice() && c.route.Kind == platform.Streaming &&
+		(c.request.Header.Get(platform.HeaderResumes) != "" || c.request.Header.Get(platform.HeaderLastEventID) != "")
+}
+
+// findOrigin determines at which software version the stream that the caller takes up began. It refuses the request if that is not certain:
+// another instance may know.
+func (c *call) findOrigin() *refusal {
+	if !c.takesUp() {
+		return nil
+	}
+	c.stream = ident.Request(c.request.Header.Get(platform.HeaderResumes))
+	software, found := c.forwarder.config.Origins.Find(c.ctx, c.stream, c.service)
+	if !found {
+		return unavailable("version that began the stream is not known", noServerRetryAfter)
+	}
+	c.begun, c.software = true, software
+	return nil
+}
+
+// beginStream records the software version of the server that sends the first event of the stream, or goes on with it.
 func (c *call) beginStream(server *servers.Server) {
 	if !c.begun {
-		c.begun, c.software = true, server.Software
+		c.begun, c.software, c.stream = true, server.Software, ident.Request(c.record.ID)
+	}
+	if c.stream != "" && c.mayRunTwice() {
+		c.forwarder.config.Origins.Begin(origin.Origin{Stream: c.stream, Service: c.service, Software: c.software})
 	}
 }
 
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -55,6 +56,8 @@
 	Quarantine quarantine.Report `cbor:"10,keyasint"`
 	// Limits are the servers' rate limits that responses to the sender named.
 	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
+	// Origins is about streams and where they began.
+	Origins originMessage `cbor:"12,keyasint"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -122,6 +125,7 @@
 			g.router.servers.MarkLeaving(leaving)
 		}
 		g.mergeLimits(received)
+		g.router.origins.receive(received.Process, received.Origins, func(datagram []byte) { g.writeTo(unmapped(from), datagram) })
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
 				usage.InstanceCounts{Counts: received.Usage, Until: time.UnixMilli(received.UsageUntilMS)})
@@ -129,6 +133,11 @@
 	}
 }
 
+// unmapped returns an address as in the rows of instances: an IPv4 address is not mapped into IPv6.
+func unmapped(address netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
 // mergeLimits applies what a peer knows of servers' rate limits.
 func (g *gossip) mergeLimits(received message) {
 	for _, report := range received.Limits {
@@ -143,20 +152,36 @@
 // answerNewcomer sends a message to an instance that is behind and whose row this one has not read yet. An instance that starts
 // thereby learns at once what the others know.
 func (g *gossip) answerNewcomer(from netip.AddrPort) {
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	from = unmapped(from)
 	known := slices.ContainsFunc(g.router.peers.Peers(), func(peer peers.Peer) bool { return peer.Address == from })
 	if known {
 		return
 	}
 	answer := g.router.message()
 	answer.Answer = true
-	datagram, err := cbor.Marshal(answer)
+	g.writeTo(from, g.router.encode(answer))
+}
+
+// encode returns the datagram of a message, nil if it is too long.
+func (r *Router) encode(content message) []byte {
+	datagram, err := cbor.Marshal(content)
 	if err != nil || len(datagram) > maxMessageBytes {
-		g.router.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
+		r.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
+		return nil
+	}
+	return datagram
+}
+
+// sendTo sends a datagram to a peer.
+func (g *gossip) sendTo(peer peers.Peer, datagram []byte) { g.writeTo(peer.Address, datagram) }
+
+// writeTo sends a datagram to an address; nil is not sent.
+func (g *gossip) writeTo(address netip.AddrPort, datagram []byte) {
+	if datagram == nil {
 		return
 	}
-	if _, err := g.socket.WriteToUDPAddrPort(datagram, from); err != nil {
-		g.router.journal.Log("peer_untold", "address", from, "err", err)
+	if _, err := g.socket.WriteToUDPAddrPort(datagram, address); err != nil && !errors.Is(err, net.ErrClosed) {
+		g.router.journal.Log("peer_untold", "address", address, "err", err)
 	}
 }
 
@@ -170,15 +195,9 @@
 		}
 		update := g.router.message()
 		update.Losses = g.router.suspects.Recent(time.Now())
-		datagram, err := cbor.Marshal(update)
-		if err != nil || len(datagram) > maxMessageBytes {
-			g.router.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
-			continue
-		}
+		datagram := g.router.encode(update)
 		for _, peer := range peers {
-			if _, err := g.socket.WriteToUDPAddrPort(datagram, peer.Address); err != nil && ctx.Err() == nil {
-				g.router.journal.Log("peer_untold", "peer", peer.Process, "err", err)
-			}
+			g.sendTo(peer, datagram)
 		}
 	}
 }
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -68,7 +68,7 @@
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
 		r.followTable(quarantineTable, verdictsPollTimeout, 0, r.applyVerdicts),
-		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts,
+		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.origins.share,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
@@ -186,6 +186,7 @@
 	}
 	added, deregistered := slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
 	r.logServers(r.servers.Update(added, deregistered, update.Snapshot))
+	r.origins.known.ObserveVersions(r.servers.SoftwareVersions())
 }
 
 // maxServerLines is the number of servers of one update that are logged one by one.
@@ -319,6 +320,9 @@
 	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrHistoryUnavailable)
 	r.metrics.observeStoreCall(call, took, err)
 	r.servers.ObserveStore(took, answered)
+	if answered {
+		r.storeResponded.Store(int64(clock.Boot()))
+	}
 	switch {
 	case !r.health.recordStoreCall(answered):
 	case answered:
--- /dev/null
+++ b/internal/role/router/origins.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/oops"
+
+	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/origin"
+	"vanillapond/internal/process/peers"
+	"vanillapond/pkg/ident"
+)
+
+// Limits of what instances tell each other about streams.
+const (
+	// shareOriginsInterval is the time between two rounds in which streams that began are told to others.
+	shareOriginsInterval = 50 * time.Millisecond
+	// askInterval is the time after which a question is sent again, in case a datagram was lost, and askAttempts how often it is sent.
+	askInterval = 60 * time.Millisecond
+	askAttempts = 3
+	// storeConfirmedFor is for how long after a response the store counts as reached: longer than the shortest time between two heartbeats.
+	storeConfirmedFor = 1500 * time.Millisecond
+	// maxOrigins bounds the streams in one datagram.
+	maxOrigins = 100
+	// minStreamMemory is the minimum time for which streams are remembered.
+	minStreamMemory = time.Minute
+)
+
+// originMessage is the part of a gossip datagram about streams.
+type originMessage struct {
+	// Began are streams that began at the sender.
+	Began []origin.Origin `cbor:"1,keyasint,omitempty"`
+	// Questions are streams whose Software the sender asks for.
+	Questions []origin.Origin `cbor:"2,keyasint,omitempty"`
+	Answers   []origin.Answer `cbor:"3,keyasint,omitempty"`
+}
+
+// Check returns an error if a list is too long or an entry is invalid.
+func (m originMessage) Check() error {
+	if len(m.Began) > maxOrigins || len(m.Questions) > maxOrigins || len(m.Answers) > maxOrigins {
+		return oops.Errorf("origins of streams: found %d streams, %d questions and %d answers, want at most %d of each",
+			len(m.Began), len(m.Questions), len(m.Answers), maxOrigins)
+	}
+	for _, began := range m.Began {
+		if began.Stream == "" {
+			return oops.Errorf("origins of streams: found a stream without an id")
+		}
+	}
+	for _, answer := range m.Answers {
+		if err := answer.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// origins implements forward.Origins by what this instance knows and what others answer.
+type origins struct {
+	router *Router
+	known  *origin.Registry
+}
+
+func (r *Router) newOrigins() *origins {
+	return &origins{router: r, known: origin.New(origin.Config{Memory: r.streamMemory})}
+}
+
+// streamMemory returns for how long a stream may be taken up again: its caller may make another request when the first one's time is up.
+func (r *Router) streamMemory() time.Duration {
+	routeTable := r.configuration.Table()
+	if routeTable == nil {
+		return minStreamMemory
+	}
+	return max(minStreamMemory, 2*routeTable.LongestTimeout())
+}
+
+// Begin implements forward.Origins.
+func (o *origins) Begin(stream origin.Origin) { o.known.Begin(stream) }
+
+// Find implements forward.Origins.
+func (o *origins) Find(ctx context.Context, stream ident.Request, service ident.Pool) (ident.Software, bool) {
+	if known, found := o.known.Lookup(stream); found {
+		return known.Software, true
+	}
+	start := time.Now()
+	asked := o.selectPeers(stream, origin.Asked)
+	question := o.known.Ask(stream, service, len(asked))
+	datagram := o.router.originDatagram(originMessage{Questions: []origin.Origin{{Stream: stream, Service: service}}})
+	for attempt := 0; attempt < askAttempts && len(asked) > 0 && ctx.Err() == nil; attempt++ {
+		for _, peer := range asked {
+			o.router.gossip.sendTo(peer, datagram)
+		}
+		select {
+		case <-question.Settled():
+			attempt = askAttempts
+		case <-time.After(askInterval):
+		case <-ctx.Done():
+		}
+	}
+	software, found := o.known.Close(question, origin.View{Fresh: o.router.serversFresh(), Confirmed: o.router.storeConfirmed()})
+	o.router.journal.Log("stream_origin", "stream", stream, "service", service, "found", found, "software", software, "asked", len(asked),
+		"took", time.Since(start))
+	return software, found
+}
+
+// receive applies a message from a peer, and answers its questions.
+func (o *origins) receive(from ident.Process, received originMessage, reply func(datagram []byte)) {
+	if err := received.Check(); err != nil {
+		o.router.journal.Log("peer_report_refused", "peer", from, "err", err)
+		return
+	}
+	o.known.Merge(received.Began)
+	for _, answer := range received.Answers {
+		o.known.Receive(from, answer)
+	}
+	var answers []origin.Answer
+	for _, question := range received.Questions {
+		answers = append(answers, o.known.Answer(question.Stream, question.Service, o.router.serversFresh()))
+	}
+	if len(answers) > 0 {
+		reply(o.router.originDatagram(originMessage{Answers: answers}))
+	}
+}
+
+// share tells other instances where streams began until the context is done.
+func (o *origins) share(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, shareOriginsInterval, nil)
+		byHolder := make(map[peers.Peer][]origin.Origin)
+		for _, began := range o.known.TakeUnshared() {
+			for _, peer := range o.selectPeers(began.Stream, origin.Holders) {
+				byHolder[peer] = append(byHolder[peer], began)
+			}
+		}
+		for peer, began := range byHolder {
+			for chunk := range slices.Chunk(began, maxOrigins) {
+				o.router.gossip.sendTo(peer, o.router.originDatagram(originMessage{Began: chunk}))
+			}
+		}
+	}
+}
+
+// selectPeers returns the peers that choose picks for a stream.
+func (o *origins) selectPeers(stream ident.Request, choose func(ident.Request, []ident.Process) []ident.Process) []peers.Peer {
+	byProcess := make(map[ident.Process]peers.Peer)
+	for _, peer := range o.router.peers.Peers() {
+		byProcess[peer.Process] = peer
+	}
+	chosen := choose(stream, slices.Collect(maps.Keys(byProcess)))
+	selected := make([]peers.Peer, 0, len(chosen))
+	for _, process := range chosen {
+		selected = append(selected, byProcess[process])
+	}
+	return selected
+}
+
+// originDatagram encodes a message about streams. It is marked as an answer, since it says nothing else of its sender.
+func (r *Router) originDatagram(content originMessage) []byte {
+	return r.encode(message{Process: r.settings.Process, Version: r.configuration.Version(), Answer: true, Origins: content})
+}
+
+// storeConfirmed reports whether the store has responded within storeConfirmedFor.
+func (r *Router) storeConfirmed() bool {
+	return clock.Boot().Sub(clock.Reading(r.storeResponded.Load())) < storeConfirmedFor
+}
+
+// serversFresh reports whether the list of servers is so recent that it has all software versions that serve.
+func (r *Router) serversFresh() bool {
+	age := r.serversAge()
+	return age > 0 && age < serversPollTimeout(r.bounds())+storeTimeout
+}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -68,11 +68,14 @@
 	readyListener   *listener.Listener
 	metricsListener *listener.Listener
 	gossip          *gossip
+	origins         *origins
 	peerUsage       usageByPeer
 	reporter        *usage.Reporter
 	// serversRead is the time as of which the known list of servers was current, as a clock.Reading.
 	serversRead atomic.Int64
-	health      health
+	// storeResponded is when the store last responded, as a clock.Reading.
+	storeResponded atomic.Int64
+	health         health
 	// currentBounds are the bounds of the latest settings. Components that were built with earlier bounds keep those.
 	currentBounds atomic.Pointer[platform.Bounds]
 	// cancel ends the background loops, and loops waits for them.
@@ -116,6 +119,7 @@
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
+	r.origins = r.newOrigins()
 	r.suspects = forward.NewSuspectList(r.recordSuspect)
 	r.crashes.OnCrash = r.recordCrash
 	r.pendingVerdicts = make(chan quarantine.VerdictReport, maxPendingVerdicts)
@@ -208,7 +212,7 @@
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get,
 		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Observe: r.observe,
+		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
 		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -21,6 +22,8 @@
 	customers  map[string]*platform.Customer
 	services   map[ident.Pool]*platform.Service
 	priorities priorities
+	// longestTimeout is the longest timeout of a route.
+	longestTimeout time.Duration
 }
 
 // New returns the table of a configuration version.
@@ -35,6 +38,7 @@
 		route := &configuration.Routes[index]
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
+		t.longestTimeout = max(t.longestTimeout, route.Timeout.Duration())
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *platform.Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -55,6 +59,9 @@
 // Version returns the version number.
 func (t *Table) Version() ident.Version { return t.version }
 
+// LongestTimeout returns the longest timeout of a route.
+func (t *Table) LongestTimeout() time.Duration { return t.longestTimeout }
+
 // Limits returns the limits on callers' requests.
 func (t *Table) Limits() platform.Limits { return t.limits }
 
