The software versions of a service are kept in the store

Cause: an instance took a version for the only one only after it had watched the servers itself for as long as streams can be taken up. Change: the versions of each service, and since when they are complete, are in the store, written when they change and read at the start. The very first start of the system has nothing before it. Evidence: TestStreamTakenUpAfterAllRestarted failed before (the stream was refused) and passes, also for a version that served before the restart; TestHistorySurvivesRestart.

--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -50,6 +50,8 @@
 	present map[ident.Pool][]ident.Software
 	// watchedSince is when the first list of servers was known, 0 before; guarded by mu.
 	watchedSince clock.Reading
+	// completeSince is since when versions holds all of a service's versions, where that is earlier than watchedSince; guarded by mu.
+	completeSince map[ident.Pool]clock.Reading
 	// waiting holds the questions to other instances that are not settled; guarded by mu.
 	waiting map[*Question]struct{}
 }
@@ -71,7 +73,8 @@
 	}
 	return &Registry{
 		config: config, streams: make(map[ident.Request]*stream), unshared: make(map[ident.Pool][]ident.Request),
-		versions: make(map[ident.Pool]map[ident.Software]clock.Reading), waiting: make(map[*Question]struct{}),
+		completeSince: make(map[ident.Pool]clock.Reading),
+		versions:      make(map[ident.Pool]map[ident.Software]clock.Reading), waiting: make(map[*Question]struct{}),
 	}
 }
 
@@ -188,7 +191,7 @@
 // there were several or none, or the servers have not been watched for so long. The caller holds mu.
 func (r *Registry) sole(service ident.Pool) (ident.Software, bool) {
 	now := r.config.Now()
-	if r.watchedSince == 0 || now.Sub(r.watchedSince) < r.config.Memory() {
+	if r.watchedSince == 0 || now.Sub(r.since(service)) < r.config.Memory() {
 		return "", false
 	}
 	versions := r.recent(now, service)
@@ -198,6 +201,14 @@
 	return versions[0], true
 }
 
+// since returns since when all versions of a service are known; the caller holds mu.
+func (r *Registry) since(service ident.Pool) clock.Reading {
+	if earlier, found := r.completeSince[service]; found && earlier < r.watchedSince {
+		return earlier
+	}
+	return r.watchedSince
+}
+
 // recent returns the versions that a service's servers have had for as long as a stream may be taken up again; the caller holds mu.
 func (r *Registry) recent(now clock.Reading, service ident.Pool) []ident.Software {
 	r.see(now)
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -100,3 +100,39 @@
 	_, found := h.Lookup("old")
 	is.True(!found)
 }
+
+// TestHistorySurvivesRestart checks that an instance that has just started knows by the history that others have kept that a service has had one
+// version only, and that it does not take a version for the only one of which the history knows another.
+func TestHistorySurvivesRestart(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name      string
+		since     time.Duration
+		present   []ident.Software
+		gone      time.Duration
+		knowledge origin.Knowledge
+	}{
+		{"one version", time.Hour, []ident.Software{"v1"}, 0, origin.SoleVersion},
+		{"watched for a short time", time.Second, []ident.Software{"v1"}, 0, origin.Nothing},
+		{"other version served until the end", time.Hour, []ident.Software{"v2"}, 0, origin.SeveralVersions},
+		{"other version just gone", time.Hour, []ident.Software{"v1"}, modelMemory - time.Second, origin.SeveralVersions},
+		{"other version long gone", time.Hour, []ident.Software{"v1"}, modelMemory + time.Second, origin.SoleVersion},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newOriginHarness()
+			h.observe("v1")
+			is.Equal(h.Answer("x", modelService, true).Knowledge, origin.Nothing)
+			history := origin.History{Since: h.now.Add(-c.since), Present: c.present}
+			if c.gone > 0 {
+				history.Gone = map[ident.Software]clock.Reading{"v2": h.now.Add(-c.gone)}
+			}
+			h.MergeHistory(modelService, history)
+			is.Equal(h.Answer("x", modelService, true).Knowledge, c.knowledge)
+			kept := h.Histories()[modelService]
+			is.Equal(kept.Since, h.now.Add(-c.since))
+			is.Equal(kept.Present, []ident.Software{"v1"})
+		})
+	}
+}
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -92,39 +92,63 @@
 		settings := platform.Settings{
 			Process: ident.Process("front-" + string(rune('a'+index))), Address: "127.0.0.1", Domain: "a",
 			CallersAddress: freeAddress(t), ReadyAddress: freeAddress(t),
-			PeerPort: netip.MustParseAddrPort(freeAddress(t)).Port(),
-			Store:    platform.StoreSettings{Address: h.store.Address()},
-			Duties:   platform.DutySettings{Address: h.duties.Address()},
+			FirstStart: true,
+			PeerPort:   netip.MustParseAddrPort(freeAddress(t)).Port(),
+			Store:      platform.StoreSettings{Address: h.store.Address()},
+			Duties:     platform.DutySettings{Address: h.duties.Address()},
 			Bounds: platform.Bounds{
 				Grace: 6 * time.Second, ConfigApply: time.Second, Revoke: revocationBound, RetryRatio: 0.2, RetryExtra: 20,
 				RetryWindow: 10 * time.Second,
 				LeaseTerm:   time.Second, UsageWindow: usageWindow, UsageLate: 6 * time.Second,
 			},
 		}
-		log := &logBuffer{}
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Log(log.String())
-			}
-		})
-		metrics := netip.MustParseAddrPort(freeAddress(t))
-		started, err := router.Start(t.Context(), router.Config{
-			Settings: settings, Log: log, MetricsPort: int(metrics.Port()), Build: "test",
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		h.settings = append(h.settings, settings)
-		h.metricsURLs = append(h.metricsURLs, "http://"+metrics.String())
-		h.routers = append(h.routers, started)
-		h.callerURLs = append(h.callerURLs, "http://"+settings.CallersAddress)
-		h.readyURLs = append(h.readyURLs, "http://"+settings.ReadyAddress)
-		h.logs = append(h.logs, log)
+		h.start(t, settings)
 	}
+	h.awaitReady(t)
+	return h
+}
+
+func (h *harness) awaitReady(t *testing.T) {
+	t.Helper()
 	for _, url := range h.readyURLs {
 		eventually(t, "ready", func() bool { return status(url) == http.StatusOK })
 	}
-	return h
+}
+
+// start starts a router.
+func (h *harness) start(t *testing.T, settings platform.Settings) {
+	t.Helper()
+	log := &logBuffer{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(log.String())
+		}
+	})
+	metrics := netip.MustParseAddrPort(freeAddress(t))
+	started, err := router.Start(t.Context(), router.Config{
+		Settings: settings, Log: log, MetricsPort: int(metrics.Port()), Build: "test",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.settings = append(h.settings, settings)
+	h.metricsURLs = append(h.metricsURLs, "http://"+metrics.String())
+	h.routers = append(h.routers, started)
+	h.callerURLs = append(h.callerURLs, "http://"+settings.CallersAddress)
+	h.readyURLs = append(h.readyURLs, "http://"+settings.ReadyAddress)
+	h.logs = append(h.logs, log)
+}
+
+// restartAll stops all routers and starts them again with the same settings.
+func (h *harness) restartAll(t *testing.T) {
+	t.Helper()
+	h.stop()
+	settings := h.settings
+	h.settings, h.metricsURLs, h.routers, h.callerURLs, h.readyURLs, h.logs = nil, nil, nil, nil, nil, nil
+	for _, each := range settings {
+		h.start(t, each)
+	}
+	h.awaitReady(t)
 }
 
 // freeAddress returns a loopback address with an unused port.
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -68,7 +68,7 @@
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
 		r.followTable(quarantineTable, verdictsPollTimeout, 0, r.applyVerdicts),
-		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.origins.share,
+		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.origins.share, r.syncSoftware,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
@@ -186,7 +186,7 @@
 	}
 	added, deregistered := slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
 	r.logServers(r.servers.Update(added, deregistered, update.Snapshot))
-	r.origins.known.ObserveVersions(r.servers.SoftwareVersions())
+	r.observeSoftware()
 }
 
 // maxServerLines is the number of servers of one update that are logged one by one.
@@ -307,6 +307,7 @@
 	r.journal.Log("store_restored", "era", era, "version", r.configuration.Version())
 	r.servers.ObserveRestore()
 	r.rewriteVerdicts()
+	r.requestSoftwareSync()
 }
 
 // storeEraSince returns the agreed time at which this instance first saw the store's current era.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -69,6 +69,10 @@
 	metricsListener *listener.Listener
 	gossip          *gossip
 	origins         *origins
+	// lastSoftware holds the software versions of the latest list of servers; only the loop that applies the list uses it.
+	lastSoftware map[ident.Pool][]ident.Software
+	// softwareChanged asks for a comparison of the software versions with the store.
+	softwareChanged chan struct{}
 	peerUsage       usageByPeer
 	reporter        *usage.Reporter
 	// serversRead is the time as of which the known list of servers was current, as a clock.Reading.
@@ -120,6 +124,7 @@
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
 	r.origins = r.newOrigins()
+	r.softwareChanged = make(chan struct{}, 1)
 	r.suspects = forward.NewSuspectList(r.recordSuspect)
 	r.crashes.OnCrash = r.recordCrash
 	r.pendingVerdicts = make(chan quarantine.VerdictReport, maxPendingVerdicts)
--- a/internal/role/router/software_test.go
+++ b/internal/role/router/software_test.go
@@ -60,6 +60,8 @@
 	request.Header.Set("Authorization", platform.KeyScheme+"right")
 	if resumes != "" {
 		request.Header.Set(platform.HeaderResumes, resumes)
+	}
+	if strings.HasPrefix(id, "second") || strings.HasPrefix(id, "third") {
 		request.Header.Set(platform.HeaderLastEventID, "3")
 	}
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
@@ -124,3 +126,47 @@
 		each.Stop(context.Background())
 	}
 }
+
+// TestStreamTakenUpAfterAllRestarted checks that a stream that its caller takes up after all routers have ended and started again goes on if its
+// service has had one software version only, and is refused if another has served before.
+func TestStreamTakenUpAfterAllRestarted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRouters(t, 2)
+	h.store.Delete(platform.ServersTable, "i-1")
+	for _, id := range []ident.Endpoint{"i-10", "i-11"} {
+		h.startStreamServer(t, id, "")
+	}
+	for index := range 2 {
+		eventually(t, "servers known", func() bool { return len(h.state(t, index).Servers) == 2 })
+	}
+	_, versions, _ := h.stream(t, 0, "first", "", 3)
+	is.Equal(len(versions), 3)
+	eventually(t, "versions stored", func() bool { return strings.Contains(h.logs[0].String()+h.logs[1].String(), "event=software_versions") })
+
+	h.restartAll(t)
+	for index, resumes := range []string{"first", ""} {
+		eventually(t, "stream goes on", func() bool {
+			_, versions, _ := h.stream(t, index, "second-"+resumes, resumes, 2)
+			return len(versions) == 2
+		})
+	}
+
+	for _, id := range []string{"i-10", "i-11"} {
+		h.store.Delete(platform.ServersTable, id)
+	}
+	for _, id := range []ident.Endpoint{"i-12", "i-13"} {
+		h.startStreamServer(t, id, "v2")
+	}
+	eventually(t, "versions stored", func() bool { return strings.Contains(h.logs[0].String()+h.logs[1].String(), "present=[v2]") })
+	h.restartAll(t)
+	for range 10 {
+		for index := range 2 {
+			status, _, retryAfter := h.stream(t, index, "third", "first", 2)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.True(retryAfter != "")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	h.stop()
+}
