Answers about streams without an id are accepted

Cause: a caller may take up a stream without naming its earlier request. Change: only the answer that a stream is known needs an id. Evidence: TestStreamTakenUpAfterAllRestarted failed with this check (peer_report_refused at the asking router) and passes.

--- a/internal/process/origin/question.go
+++ b/internal/process/origin/question.go
@@ -31,10 +31,10 @@
 	Knowledge Knowledge `cbor:"2,keyasint,omitempty"`
 }
 
-// Check returns an error if a field is out of range.
+// Check returns an error if a field is out of range. The stream of a caller that names no earlier request has no id and is not known.
 func (a Answer) Check() error {
-	if a.Stream == "" || a.Knowledge < Nothing || a.Knowledge > SeveralVersions {
-		return oops.Errorf("answer on a stream: found stream %.40q and knowledge %d, want an id and a number from %d to %d",
+	if a.Knowledge == Known && a.Stream == "" || a.Knowledge < Nothing || a.Knowledge > SeveralVersions {
+		return oops.Errorf("answer on a stream: found stream %.40q and knowledge %d, want an id of a known stream and a number from %d to %d",
 			a.Stream, a.Knowledge, Nothing, SeveralVersions)
 	}
 	return nil
--- a/internal/role/router/software_test.go
+++ b/internal/role/router/software_test.go
@@ -145,12 +145,19 @@
 	eventually(t, "versions stored", func() bool { return strings.Contains(h.logs[0].String()+h.logs[1].String(), "event=software_versions") })
 
 	h.restartAll(t)
+	for index := range 2 {
+		eventually(t, "peers known", func() bool { return len(h.state(t, index).Peers) == 1 })
+	}
 	for index, resumes := range []string{"first", ""} {
 		eventually(t, "stream goes on", func() bool {
 			_, versions, _ := h.stream(t, index, "second-"+resumes, resumes, 2)
 			return len(versions) == 2
 		})
 	}
+	for _, log := range h.logs {
+		eventually(t, "question logged", func() bool { return strings.Contains(log.String(), "event=stream_origin") })
+		is.True(!strings.Contains(log.String(), "event=peer_report_refused"))
+	}
 
 	for _, id := range []string{"i-10", "i-11"} {
 		h.store.Delete(platform.ServersTable, id)
