Servers of evacuated failure domains get no requests

The operator's rows that evacuate a failure domain were not read. Change: they come with the operator's table that each instance follows; the registry leaves their servers out until the rows are gone. Evidence: TestEvacuatedDomain failed before: also for a router that starts meanwhile, and for a history that the store has lost. Result: go test ./internal/role/router ./internal/connection/servers passes.

--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -59,6 +59,8 @@
 	limited map[ident.Endpoint]*rateLimit
 	// warming holds the servers that have started recently; guarded by mu.
 	warming map[ident.Endpoint]*warmup
+	// evacuated holds the failure domains whose servers get no requests; the set is replaced, never modified. Guarded by mu.
+	evacuated map[ident.FailureDomain]bool
 	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
 	departed map[Incarnation]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
@@ -120,7 +122,21 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	current := r.servers[server.ID]
-	return current == server && current.State == platform.ServerReady && !r.paused(server.ID, r.config.Now())
+	return current == server && current.State == platform.ServerReady && !r.evacuated[current.Domain] &&
+		!r.paused(server.ID, r.config.Now())
+}
+
+// Evacuate sets the failure domains whose servers get no requests, and reports whether they have changed. The caller must not modify the set
+// afterwards.
+func (r *Registry) Evacuate(domains map[ident.FailureDomain]bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if maps.Equal(r.evacuated, domains) {
+		return false
+	}
+	r.evacuated = domains
+	r.rebuildReady()
+	return true
 }
 
 // Missing reports whether the server is used although its registration is absent.
@@ -294,7 +310,7 @@
 	r.resumeAt = 0
 	for _, server := range r.servers {
 		switch {
-		case server.State != platform.ServerReady:
+		case server.State != platform.ServerReady, r.evacuated[server.Domain]:
 		case r.paused(server.ID, now):
 			if until := r.announcements[server.ID].pausedUntil; r.resumeAt == 0 || until < r.resumeAt {
 				r.resumeAt = until
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -163,6 +163,12 @@
 
 // startServer starts and registers a server.
 func (h *harness) startServer(t *testing.T, id ident.Endpoint) *httptest.Server {
+	t.Helper()
+	return h.startServerIn(t, id, "a")
+}
+
+// startServerIn starts and registers a server in a failure domain.
+func (h *harness) startServerIn(t *testing.T, id ident.Endpoint, domain ident.FailureDomain) *httptest.Server {
 	t.Helper()
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if strings.HasSuffix(request.URL.Path, "/vanish") {
@@ -179,13 +185,17 @@
 		_, _ = io.WriteString(w, string(id))
 	}))
 	t.Cleanup(backend.Close)
-	h.register(id, backend, platform.ServerReady)
+	h.registerIn(id, domain, backend, platform.ServerReady)
 	return backend
 }
 
 func (h *harness) register(id ident.Endpoint, backend *httptest.Server, state platform.ServerState) {
+	h.registerIn(id, "a", backend, state)
+}
+
+func (h *harness) registerIn(id ident.Endpoint, domain ident.FailureDomain, backend *httptest.Server, state platform.ServerState) {
 	h.store.Put(platform.ServersTable, string(id), platform.Server{
-		Service: "s", Address: backend.Listener.Addr().String(), Domain: "a", State: state, Slots: 4, StartedUnixMS: 1,
+		Service: "s", Address: backend.Listener.Addr().String(), Domain: domain, State: state, Slots: 4, StartedUnixMS: 1,
 	})
 }
 
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -131,6 +132,7 @@
 // applyConfiguration applies new configuration versions. It confirms that the configuration in force is current, unless the store
 // holds one that is unreadable or older.
 func (r *Router) applyConfiguration(update follow.Update) {
+	r.applyEvacuations(update)
 	confirmed := true
 	for _, change := range update.Changes {
 		if change.Key != platform.OperatorTable+"/"+platform.ConfigurationKey || change.Deleted {
@@ -143,6 +145,30 @@
 	}
 }
 
+// applyEvacuations applies the rows by which the operator evacuates failure domains.
+func (r *Router) applyEvacuations(update follow.Update) {
+	evacuated := make(map[ident.FailureDomain]bool)
+	if !update.Snapshot {
+		maps.Copy(evacuated, r.evacuated)
+	}
+	for _, change := range update.Changes {
+		domain, found := platform.EvacuatedDomain(strings.TrimPrefix(string(change.Key), platform.OperatorTable+"/"))
+		switch {
+		case !found:
+		case change.Deleted:
+			delete(evacuated, domain)
+		default:
+			evacuated[domain] = true
+		}
+	}
+	r.evacuated = evacuated
+	if r.servers.Evacuate(evacuated) {
+		_, ready := r.servers.Counts()
+		domains := slices.Sorted(maps.Keys(evacuated))
+		r.journal.Log("evacuation", "domains", fmt.Sprint(domains), "revision", update.Revision, "ready", ready)
+	}
+}
+
 // applyVersion applies one version, and reports whether the configuration in force is as new as the one in the store.
 func (r *Router) applyVersion(change table.Change) bool {
 	configuration, err := platform.DecodeConfiguration(change.Value)
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -69,6 +69,9 @@
 	metricsListener *listener.Listener
 	gossip          *gossip
 	origins         *origins
+	// evacuated holds the failure domains that the operator has evacuated; only the loop that applies the operator's table uses it, and the
+	// set is replaced, never modified.
+	evacuated map[ident.FailureDomain]bool
 	// lastSoftware holds the software versions of the latest list of servers; only the loop that applies the list uses it.
 	lastSoftware map[ident.Pool][]ident.Software
 	// softwareChanged asks for a comparison of the software versions with the store.
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -330,3 +330,33 @@
 	h.store.ClearFaults()
 	h.stop()
 }
+
+// TestEvacuatedDomain checks that servers of a failure domain that the operator has evacuated get no requests until the domain is taken back,
+// also by a router that starts meanwhile.
+func TestEvacuatedDomain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRouters(t, 1)
+	h.startServerIn(t, "i-2", "b")
+	servedBy := func(want string) func() bool {
+		return func() bool { _, body := h.send(0, "/p/x", "right"); return body == want }
+	}
+	evacuation := platform.EvacuationKey("a")
+	eventually(t, "own domain's server used", servedBy("i-1"))
+	h.store.Put(platform.OperatorTable, evacuation, "")
+	for range 2 {
+		eventually(t, "other server used", servedBy("i-2"))
+		time.Sleep(500 * time.Millisecond)
+		for range 30 {
+			is.True(servedBy("i-2")())
+		}
+		h.restartAll(t)
+	}
+	h.store.Delete(platform.OperatorTable, evacuation)
+	eventually(t, "own domain's server used again", servedBy("i-1"))
+	h.store.Put(platform.OperatorTable, evacuation, "")
+	eventually(t, "other server used again", servedBy("i-2"))
+	h.store.DeleteAndTruncate(platform.OperatorTable, evacuation)
+	eventually(t, "own domain's server used after a lost history", servedBy("i-1"))
+	h.stop()
+}
