--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -55,7 +55,7 @@
 			c.refuse(refused)
 			return
 		}
-		if c.serversTried > 0 && !budget.Take(time.Now()) {
+		if c.reachedServer && !budget.Take(time.Now()) {
 			c.refuse(unavailable("budget of repeats is used up", noServerRetryAfter))
 			return
 		}
