Software versions are sorted before they are shared

Cause: found while reading the change: the router sorted the lists of versions in place after it had given them to the registry of origins, whose other goroutines read them under a lock that the sorting did not hold. With several versions of a service that is a data race. Change: servers.Registry returns them sorted; nobody sorts them later. Behaviour is the same otherwise. Result: TestSoftwareVersions; go test -race of internal/connection/servers, internal/process/origin and the router's tests of versions, restarts and evacuation pass; lint passes. The race detector had not shown it before: sorting writes only where the versions came unsorted.

--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -149,7 +149,7 @@
 	return slices.Collect(maps.Values(r.servers))
 }
 
-// SoftwareVersions returns the software versions of each service's servers, each once.
+// SoftwareVersions returns the software versions of each service's servers, each once and sorted.
 func (r *Registry) SoftwareVersions() map[ident.Pool][]ident.Software {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -159,6 +159,9 @@
 			versions[server.Service] = append(versions[server.Service], server.Software)
 		}
 	}
+	for _, sorted := range versions {
+		slices.Sort(sorted)
+	}
 	return versions
 }
 
--- a/internal/connection/servers/servers_test.go
+++ b/internal/connection/servers/servers_test.go
@@ -141,3 +141,19 @@
 	h.Sweep()
 	is.Equal(h.ready(), 0)
 }
+
+// TestSoftwareVersions checks that each version of a service's servers is returned once, in an order that does not depend on the servers': the
+// lists are shared with other goroutines, so that nobody may sort them later.
+func TestSoftwareVersions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newHarness()
+	var registered []platform.Server
+	for _, software := range []ident.Software{"v3", "v1", "v2", "v1", "v3"} {
+		server := registration(ident.Endpoint("i-"+string(rune('a'+len(registered)))), platform.ServerReady, 1)
+		server.Software = software
+		registered = append(registered, server)
+	}
+	h.Update(registered, nil, true)
+	is.Equal(h.SoftwareVersions(), map[ident.Pool][]ident.Software{"s": {"v1", "v2", "v3"}})
+}
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -161,7 +161,7 @@
 	return origins
 }
 
-// ObserveVersions records the software versions of each service's servers.
+// ObserveVersions records the software versions of each service's servers. The caller must not modify them afterwards.
 func (r *Registry) ObserveVersions(present map[ident.Pool][]ident.Software) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/role/router/software.go
+++ b/internal/role/router/software.go
@@ -60,9 +60,6 @@
 
 // rememberSoftware reports whether versions differ from those of the last call.
 func (r *Router) rememberSoftware(present map[ident.Pool][]ident.Software) bool {
-	for _, versions := range present {
-		slices.Sort(versions)
-	}
 	changed := r.lastSoftware == nil || !maps.EqualFunc(r.lastSoftware, present, slices.Equal)
 	r.lastSoftware = present
 	return changed
