A stopped router has closed its datagram socket

Cause: receive returned without waiting for the function of the context's end that closes the socket; if a datagram arrived in that moment, that function did not run at all and the socket stayed open. A process that starts again at the address could then not listen (KNOWN in: TestStreamTakenUpAfterAllRestarted, address already in use). Change: receive returns once the socket is closed. Ruled out by the test: closing it a second time on return (that does not wait for the first close), and waiting for the function alone (it may have been cancelled before it ran). restartAll starts routers at their own addresses again, as before.

--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -84,10 +84,20 @@
 	return &gossip{router: router, socket: socket}, nil
 }
 
-// receive applies messages from peers until the context is done.
+// receive applies messages from peers until the context is done, and closes the socket.
 func (g *gossip) receive(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = g.socket.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = g.socket.Close()
+	})
+	defer func() {
+		if stop() {
+			_ = g.socket.Close()
+			return
+		}
+		<-closed
+	}()
 	buffer := make([]byte, maxMessageBytes)
 	for {
 		size, from, err := g.socket.ReadFromUDPAddrPort(buffer)
--- a/internal/role/router/harness_test.go
+++ b/internal/role/router/harness_test.go
@@ -139,16 +139,13 @@
 	h.logs = append(h.logs, log)
 }
 
-// restartAll stops all routers and starts them again with the same settings, but at other addresses: a stopped router's datagram socket is
-// closed a moment after Stop has returned.
+// restartAll stops all routers and starts them again with the same settings.
 func (h *harness) restartAll(t *testing.T) {
 	t.Helper()
 	h.stop()
 	settings := h.settings
 	h.settings, h.metricsURLs, h.routers, h.callerURLs, h.readyURLs, h.logs = nil, nil, nil, nil, nil, nil
 	for _, each := range settings {
-		each.CallersAddress, each.ReadyAddress = freeAddress(t), freeAddress(t)
-		each.PeerPort = netip.MustParseAddrPort(freeAddress(t)).Port()
 		h.start(t, each)
 	}
 	h.awaitReady(t)
