A question about a stream stays open while its answers leave the version undecided

Callers saw: in fleets of more than 17 instances, a caller that takes a stream up within 50 ms of its first event is refused (503, version that began the stream is not known). Cause: the instances that hold origins are told in rounds of 50 ms; asked before that, all answered that they do not know the stream, which settled the question in less than 1 ms. In smaller fleets the instance that began the stream is asked itself. The models did not show it: their callers returned after up to 15 s, and questions ran their full time. Change: answers settle a question early only if they name one version; otherwise it stays open, and is repeated, for its 180 ms, and ends as soon as an instance knows the stream. A question about a stream that nobody knows takes 180 ms for it (a refusal in the end). TestAnswersDisagree no longer waits for undecided questions to settle; what it checks of their result is unchanged.

--- a/internal/process/origin/model_test.go
+++ b/internal/process/origin/model_test.go
@@ -54,8 +54,10 @@
 	// versions are the software versions that serve.
 	versions []ident.Software
 	loss     float64
-	events   []modelEvent
-	streams  int
+	// returnTime is the longest time after which a caller takes up its stream.
+	returnTime time.Duration
+	events     []modelEvent
+	streams    int
 	// wrong counts streams that went on at another version; taken, inTouch and found count those that were taken up, in touch, and there found.
 	wrong, taken, inTouch, found int
 }
@@ -142,7 +144,7 @@
 	m.streams++
 	id := ident.Request(fmt.Sprint("stream-", m.streams))
 	instance.known.Begin(origin.Origin{Stream: id, Service: modelService, Software: software})
-	m.after(time.Duration(m.random.Int64N(int64(modelMemory/2))), func() { m.takeUp(id, software) })
+	m.after(time.Duration(m.random.Int64N(int64(m.returnTime))), func() { m.takeUp(id, software) })
 }
 
 // takeUp has a stream taken up at an instance that is up.
@@ -167,7 +169,7 @@
 		})
 	}
 	inTouch := !m.cut(instance) && m.now-instance.startAt >= modelInTouch && m.now-instance.cutEnd >= modelInTouch
-	m.after(modelAnswerTime, func() {
+	m.whenSettled(question, m.now+modelAnswerTime, func() {
 		if !m.up(instance) || instance.startAt != began {
 			return
 		}
@@ -185,8 +187,26 @@
 	})
 }
 
+// whenSettled runs an event once a question is settled, at the deadline at the latest.
+func (m *originModel) whenSettled(question *origin.Question, deadline time.Duration, run func()) {
+	m.after(modelStep, func() {
+		select {
+		case <-question.Settled():
+			run()
+		default:
+			if m.now >= deadline {
+				run()
+				return
+			}
+			m.whenSettled(question, deadline, run)
+		}
+	})
+}
+
 // modelFaults are the faults of a run.
 type modelFaults struct {
+	// atOnce means that callers take up their streams within the time in which other instances are told of them.
+	atOnce    bool
 	instances int
 	kills     bool
 	cuts      bool
@@ -195,7 +215,10 @@
 }
 
 func runOriginModel(seed uint64, faults modelFaults) *originModel {
-	m := &originModel{random: rand.New(rand.NewPCG(seed, seed)), loss: faults.loss, versions: []ident.Software{"v1"}}
+	m := &originModel{random: rand.New(rand.NewPCG(seed, seed)), loss: faults.loss, versions: []ident.Software{"v1"}, returnTime: modelMemory / 2}
+	if faults.atOnce {
+		m.returnTime = modelShareInterval
+	}
 	for index := range faults.instances {
 		m.instances = append(m.instances, &modelInstance{name: ident.Process(fmt.Sprint("router-", index))})
 	}
@@ -237,7 +260,7 @@
 
 // TestModelOrigins plays fleets whose instances are killed and cut off while several software versions serve. A stream that its caller takes up
 // at any instance never goes on at another version than the one that began it, in touch or not, and of those that are taken up in touch
-// at least half go on.
+// at least half go on; nearly all do in a fleet that is not cut, also if they are taken up before other instances are told of them.
 func TestModelOrigins(t *testing.T) {
 	t.Parallel()
 	for name, faults := range map[string]modelFaults{
@@ -249,6 +272,8 @@
 		"killed and cut":     {instances: 9, releases: true, kills: true, cuts: true, loss: 0.1},
 		"large fleet":        {instances: 40, releases: true, kills: true, cuts: true, loss: 0.1},
 		"datagrams get lost": {instances: 30, releases: true, loss: 0.3},
+		"at once":            {instances: 40, releases: true, kills: true, loss: 0.1, atOnce: true},
+		"at once, few":       {instances: 3, releases: true, kills: true, loss: 0.1, atOnce: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -257,8 +282,12 @@
 				if m.wrong > 0 {
 					t.Errorf("seed %d: %d of %d streams went on at another version", seed, m.wrong, m.taken)
 				}
-				if m.inTouch >= 12 && 2*m.found < m.inTouch {
-					t.Errorf("seed %d: %d of %d streams that were taken up in touch go on, want half", seed, m.found, m.inTouch)
+				least := 0.5
+				if faults.atOnce {
+					least = 0.95
+				}
+				if m.inTouch >= 12 && float64(m.found) < least*float64(m.inTouch) {
+					t.Errorf("seed %d: %d of %d streams that were taken up in touch go on, want a share of %v", seed, m.found, m.inTouch, least)
 				}
 				t.Logf("seed %d: %d taken up, %d in touch, %d found", seed, m.taken, m.inTouch, m.found)
 			}
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -75,13 +75,38 @@
 			answer.Stream, answer.Service = "x", modelService
 			h.Receive(ident.Process(rune('a'+index)), answer)
 		}
-		<-question.Settled()
 		software, certain := h.Close(question, fresh)
 		is.Equal(certain, c.certain)
 		is.True(!certain || software == "v1")
 	}
 }
 
+// TestUndecidedAnswersDoNotSettle checks that a question stays open while no answer decides it, since the instances that hold the origin may
+// be told of it any moment.
+func TestUndecidedAnswersDoNotSettle(t *testing.T) {
+	t.Parallel()
+	for _, knowledge := range []origin.Knowledge{origin.Nothing, origin.SeveralVersions} {
+		is := is.New(t)
+		h := newOriginHarness()
+		h.observe("v1", "v2")
+		question := h.Ask("x", modelService, 2)
+		for _, from := range []ident.Process{"a", "b"} {
+			h.Receive(from, origin.Answer{Origin: origin.Origin{Stream: "x", Service: modelService}, Knowledge: knowledge})
+		}
+		select {
+		case <-question.Settled():
+			t.Errorf("settled by answers with knowledge %d", knowledge)
+		default:
+		}
+		known := origin.Origin{Stream: "x", Service: modelService, Software: "v2"}
+		h.Receive("a", origin.Answer{Origin: known, Knowledge: origin.Known})
+		<-question.Settled()
+		software, certain := h.Close(question, fresh)
+		is.True(certain)
+		is.Equal(software, ident.Software("v2"))
+	}
+}
+
 // TestStreamsAreToldOnceVersionsDiffer checks that streams that began while a service had one version are told to other instances as soon as it
 // has two, and not before.
 func TestStreamsAreToldOnceVersionsDiffer(t *testing.T) {
--- a/internal/process/origin/question.go
+++ b/internal/process/origin/question.go
@@ -84,7 +84,8 @@
 	return question
 }
 
-// Settled is closed once the stream is known or all instances have answered.
+// Settled is closed once the stream is known, or all instances have answered and the answers name one version. It stays open if they leave the
+// version undecided: an instance that is told where the stream began may be told after its answer.
 func (q *Question) Settled() <-chan struct{} { return q.settled }
 
 // Receive applies an answer of another instance.
@@ -100,7 +101,8 @@
 			continue
 		}
 		question.answers[from] = answer
-		if question.unanswered--; question.unanswered <= 0 {
+		question.unanswered--
+		if _, decided := soleVersion(slices.Collect(maps.Values(question.answers))); decided && question.unanswered <= 0 {
 			r.settle(question)
 		}
 	}
@@ -131,8 +133,12 @@
 	if own.Knowledge == Known {
 		return own.Software, true
 	}
-	software, found := own.Software, own.Knowledge == SoleVersion
-	for _, answer := range append(slices.Collect(maps.Values(question.answers)), own) {
+	return soleVersion(append(slices.Collect(maps.Values(question.answers)), own))
+}
+
+// soleVersion returns the only software version that answers on an unknown stream name, if they agree.
+func soleVersion(answers []Answer) (software ident.Software, found bool) {
+	for _, answer := range answers {
 		switch {
 		case answer.Knowledge == SeveralVersions, answer.Knowledge == SoleVersion && found && answer.Software != software:
 			return "", false
--- a/internal/role/router/software_test.go
+++ b/internal/role/router/software_test.go
@@ -127,6 +127,30 @@
 	}
 }
 
+// TestStreamTakenUpAtOnce checks that a stream goes on whose caller takes it up before the holders of its origin were told of it, in a fleet
+// so large that the router that began it is not asked itself.
+func TestStreamTakenUpAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const routers, streams = 20, 20
+	h := startSoftwareRouters(t, routers)
+	refused := 0
+	for index := range streams {
+		id := "first-" + strconv.Itoa(index)
+		status, begun, _ := h.stream(t, index%routers, id, "", 1)
+		is.Equal(status, http.StatusOK)
+		is.Equal(len(begun), 1)
+		status, versions, _ := h.stream(t, (index+1)%routers, "second-"+strconv.Itoa(index), id, 2)
+		if status != http.StatusOK {
+			refused++
+			continue
+		}
+		is.Equal(versions, []string{begun[0], begun[0]})
+	}
+	is.Equal(refused, 0)
+	h.stop()
+}
+
 // TestStreamTakenUpAfterAllRestarted checks that a stream that its caller takes up after all routers have ended and started again goes on if its
 // service has had one software version only, and is refused if another has served before.
 func TestStreamTakenUpAfterAllRestarted(t *testing.T) {
