A stream that is taken up goes on at the service that began it

Callers saw: (found while reading) where a route is split between two services, the rest of a stream came from the other service at a server with the same version string, or was refused because that service has no such version. Cause: the service was picked by the route's weights for each request; of the origin only the version was used. Change: Find returns the whole origin, and the call moves to its service while the route leads there. The request is counted for the retry budget after that, of that service; one that is refused for an unknown origin no longer adds to it. Its parts and suspicions are checked after the question, so that a refused one uses up no trial.

--- a/internal/process/origin/model_test.go
+++ b/internal/process/origin/model_test.go
@@ -175,7 +175,7 @@
 		}
 		found, certain := instance.known.Close(question, origin.View{Fresh: fresh(instance), Confirmed: m.now-instance.listAt < modelConfirmedFor})
 		m.taken++
-		if certain && found != software {
+		if certain && found.Software != software {
 			m.wrong++
 		}
 		if inTouch {
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -75,9 +75,9 @@
 			answer.Stream, answer.Service = "x", modelService
 			h.Receive(ident.Process(rune('a'+index)), answer)
 		}
-		software, certain := h.Close(question, fresh)
+		began, certain := h.Close(question, fresh)
 		is.Equal(certain, c.certain)
-		is.True(!certain || software == "v1")
+		is.True(!certain || began.Software == "v1")
 	}
 }
 
@@ -101,9 +101,9 @@
 		known := origin.Origin{Stream: "x", Service: modelService, Software: "v2"}
 		h.Receive("a", origin.Answer{Origin: known, Knowledge: origin.Known})
 		<-question.Settled()
-		software, certain := h.Close(question, fresh)
+		began, certain := h.Close(question, fresh)
 		is.True(certain)
-		is.Equal(software, ident.Software("v2"))
+		is.Equal(began, known)
 	}
 }
 
--- a/internal/process/origin/question.go
+++ b/internal/process/origin/question.go
@@ -122,18 +122,19 @@
 	Confirmed bool
 }
 
-// Close ends a question and returns the version at which the stream began, if that is certain: an instance knows it, or the service has had one
+// Close ends a question and returns where the stream began, if that is certain: an instance knows it, or the service has had one
 // version only, of which this instance or one that answered is sure, and none that answered has seen several. An instance to which no other
 // answers may be cut off, so that it trusts its list only if it is confirmed.
-func (r *Registry) Close(question *Question, view View) (ident.Software, bool) {
+func (r *Registry) Close(question *Question, view View) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.waiting, question)
 	own := r.answer(question.stream, question.service, view.Fresh && (view.Confirmed || len(question.answers) > 0))
 	if own.Knowledge == Known {
-		return own.Software, true
+		return own.Origin, true
 	}
-	return soleVersion(append(slices.Collect(maps.Values(question.answers)), own))
+	software, found := soleVersion(append(slices.Collect(maps.Values(question.answers)), own))
+	return Origin{Stream: question.stream, Service: question.service, Software: software}, found
 }
 
 // soleVersion returns the only software version that answers on an unknown stream name, if they agree.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -50,9 +50,9 @@
 type Origins interface {
 	// Begin records that a stream began, or goes on, at this instance.
 	Begin(stream origin.Origin)
-	// Find returns the version of a service's servers at which a stream began, false if that is not certain. It may ask other instances for
-	// a short time.
-	Find(ctx context.Context, stream ident.Request, service ident.Pool) (ident.Software, bool)
+	// Find returns where a stream began, false if that is not certain. A stream that is not known may have begun only at the given service. It
+	// may ask other instances for a short time.
+	Find(ctx context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool)
 }
 
 // Config holds the dependencies and limits of a Forwarder.
@@ -240,7 +240,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	if refused := c.findOrigin(); refused != nil {
+	refused := c.findOrigin()
+	if refused == nil {
+		refused = c.admitToService()
+	}
+	if refused != nil {
 		c.refuse(refused)
 	} else {
 		c.run()
@@ -253,7 +257,7 @@
 
 func truncate(text string) string { return text[:min(len(text), maxLogged)] }
 
-// admit reads and checks the request and determines its route, customer, priority and deadline.
+// admit reads and checks the request and determines its route, service, customer, priority and deadline.
 func (c *call) admit() *refusal {
 	table := c.forwarder.config.Current.Table()
 	if table == nil {
@@ -279,6 +283,11 @@
 	}
 	c.record.Route, c.record.Service, c.record.Objective = c.route.Name, c.service, c.route.Objective.Duration()
 	c.record.MaxPause = c.route.MaxPause.Duration()
+	return nil
+}
+
+// admitToService counts the request for the retry budget of its service, and refuses it if it may crash servers.
+func (c *call) admitToService() *refusal {
 	c.forwarder.config.Budget(c.service).RecordRequest(c.arrived)
 	if c.forwarder.config.Suspects.Blocked(c.arrived, c.digest) {
 		return unavailable("request crashed servers before", suspectRetryAfter)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -33,6 +33,8 @@
 	servers *servers.Registry
 	// registered are the servers.
 	registered []platform.Server
+	// origin is what the forwarder learns of each stream that is taken up.
+	origin fixedOrigin
 	// now is the forwarder's clock; guarded by mu.
 	now     clock.Reading
 	started map[ident.Customer]int
@@ -113,12 +115,18 @@
 	return h.started[customer]
 }
 
-// anyOrigin says of each stream that it began at servers without a software version, as those of most tests are.
-type anyOrigin struct{}
+// fixedOrigin says the same of each stream. The zero value says that it began at the given service, at servers without a software version, as
+// those of most tests are.
+type fixedOrigin origin.Origin
 
-func (anyOrigin) Begin(origin.Origin) {}
-func (anyOrigin) Find(context.Context, ident.Request, ident.Pool) (ident.Software, bool) {
-	return "", true
+func (*fixedOrigin) Begin(origin.Origin) {}
+func (o *fixedOrigin) Find(_ context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool) {
+	began := origin.Origin(*o)
+	began.Stream = stream
+	if began.Service == "" {
+		began.Service = service
+	}
+	return began, true
 }
 
 // newHarness starts a forwarder and one server for each handler; extra is the number of retries that the budget allows.
@@ -147,7 +155,7 @@
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		OnInvalidPause: h.recordInvalidPause, Origins: anyOrigin{},
+		OnInvalidPause: h.recordInvalidPause, Origins: &h.origin,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
 		Budget:     func(ident.Pool) *retry.Budget { return budget },
--- a/internal/request/forward/long_loss_test.go
+++ b/internal/request/forward/long_loss_test.go
@@ -56,7 +56,7 @@
 	budget := retry.New(retry.Config{Window: 10 * time.Second, Instances: func() int { return 0 }})
 	observed := make(chan forward.Record, 1)
 	front := httptest.NewServer(forward.New(forward.Config{
-		Current: h.current, Servers: h.servers, Suspects: calls, Usage: h, Now: h.clockReading, Origins: anyOrigin{}, OnInvalidPause: h.recordInvalidPause,
+		Current: h.current, Servers: h.servers, Suspects: calls, Usage: h, Now: h.clockReading, Origins: &fixedOrigin{}, OnInvalidPause: h.recordInvalidPause,
 		Observe:    func(record forward.Record) { observed <- record },
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
--- a/internal/request/forward/software.go
+++ b/internal/request/forward/software.go
@@ -13,18 +13,22 @@
 		(c.request.Header.Get(platform.HeaderResumes) != "" || c.request.Header.Get(platform.HeaderLastEventID) != "")
 }
 
-// findOrigin determines at which software version the stream that the caller takes up began. It refuses the request if that is not certain:
-// another instance may know.
+// findOrigin determines at which software version the stream that the caller takes up began, and has it go on at the service that began it
+// while the route leads there. It refuses the request if the version is not certain: another instance may know.
 func (c *call) findOrigin() *refusal {
 	if !c.takesUp() {
 		return nil
 	}
 	c.stream = ident.Request(c.request.Header.Get(platform.HeaderResumes))
-	software, found := c.forwarder.config.Origins.Find(c.ctx, c.stream, c.service)
+	began, found := c.forwarder.config.Origins.Find(c.ctx, c.stream, c.service)
 	if !found {
 		return unavailable("version that began the stream is not known", noServerRetryAfter)
 	}
-	c.begun, c.software = true, software
+	c.begun, c.software = true, began.Software
+	if began.Service != c.service && routesTo(c.route, began.Service) {
+		c.service, c.record.Service = began.Service, began.Service
+		c.prepareQuery()
+	}
 	return nil
 }
 
--- a/internal/request/forward/software_test.go
+++ b/internal/request/forward/software_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"vanillapond/internal/process/table"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
@@ -77,3 +78,38 @@
 	is.Equal(eventIDs(body), "1 2 3")
 	is.Equal(len(log.versions["id-1"]), 1)
 }
+
+// TestStreamTakenUpStaysAtItsService checks that a stream that its caller takes up goes on at the service that began it while the route, which is
+// split between two services, leads there, and at the other one once it does not.
+func TestStreamTakenUpStaysAtItsService(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newHarness(t, 0, streamEvents(4, 5, true), streamEvents(6, 7, true))
+	split := func(revision table.Revision, plain, other float64) {
+		changed := configuration(ident.Version(revision))
+		changed.Services = append(changed.Services, platform.Service{Name: "other", MaxConnections: 100})
+		for index := range changed.Routes {
+			changed.Routes[index].Split = []platform.WeightedService{{Service: "plain", Weight: plain}, {Service: "other", Weight: other}}
+		}
+		h.current.Advance(changed)
+		h.current.Confirm(h.clockReading(), revision)
+	}
+	h.registered[1].Service = "other"
+	h.servers.Update(h.registered, nil, true)
+	h.origin.Service = "other"
+	takeUp := func(r *http.Request) {
+		r.Header.Set(platform.HeaderResumes, "first")
+		r.Header.Set(platform.HeaderLastEventID, "3")
+	}
+	split(2, 1, 1)
+	for range 20 {
+		_, body, err := h.send(t, "/resume/", takeUp)
+		is.NoErr(err)
+		is.Equal(eventIDs(body), "6 7")
+	}
+	is.Equal(h.records[0].Service, ident.Pool("other"))
+	split(3, 1, 0)
+	_, body, err := h.send(t, "/resume/", takeUp)
+	is.NoErr(err)
+	is.Equal(eventIDs(body), "4 5")
+}
--- a/internal/role/router/origins.go
+++ b/internal/role/router/origins.go
@@ -80,9 +80,9 @@
 func (o *origins) Begin(stream origin.Origin) { o.known.Begin(stream) }
 
 // Find implements forward.Origins.
-func (o *origins) Find(ctx context.Context, stream ident.Request, service ident.Pool) (ident.Software, bool) {
+func (o *origins) Find(ctx context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool) {
 	if known, found := o.known.Lookup(stream); found {
-		return known.Software, true
+		return known, true
 	}
 	start := time.Now()
 	asked := o.selectPeers(stream, origin.Asked)
@@ -99,10 +99,10 @@
 		case <-ctx.Done():
 		}
 	}
-	software, found := o.known.Close(question, origin.View{Fresh: o.router.serversFresh(), Confirmed: o.router.storeConfirmed()})
-	o.router.journal.Log("stream_origin", "stream", stream, "service", service, "found", found, "software", software, "asked", len(asked),
-		"took", time.Since(start))
-	return software, found
+	began, found := o.known.Close(question, origin.View{Fresh: o.router.serversFresh(), Confirmed: o.router.storeConfirmed()})
+	o.router.journal.Log("stream_origin", "stream", stream, "service", began.Service, "found", found, "software", began.Software,
+		"asked", len(asked), "took", time.Since(start))
+	return began, found
 }
 
 // receive applies a message from a peer, and answers its questions.
