A trial that crashed beside another suspected part is followed by one without such a part

Callers saw: (model) a sound prompt part that comes with a crashing one is refused for as long as requests with it arrive. Cause: a trial waits 3 s for a request without other suspected parts and then takes any. Where most requests with the part hold the crashing one too, both trials did, their servers crashed, and that counted against the sound part. Change: after a trial that crashed with another suspected part in its request, the next one waits 30 s for one without. A part that never comes alone still gets its last trial. Result: TestTrialAfterAmbiguousCrash failed, passes; TestTrialsWithSuspectedPartOnly.

--- a/internal/process/quarantine/admit.go
+++ b/internal/process/quarantine/admit.go
@@ -37,7 +37,7 @@
 		for range e.sentTrials() + 1 {
 			delay *= trialDelayFactor
 		}
-		e.nextTrial, e.trialAt, e.trialCrash = now.Add(delay), now, Server{}
+		e.nextTrial, e.trialAt, e.trialCrash, e.trialIsClean = now.Add(delay), now, Server{}, r.isClean(part, parts)
 		e.verdict.Trials++
 		r.decide(now, e, e.verdict, "part_trial", false)
 		return Decision{Admitted: true, Trial: true, Part: part}
@@ -58,9 +58,16 @@
 	if e.usedTrials() >= maxTrials || e.sentTrials() >= maxSentTrials {
 		return false
 	}
-	return now.Sub(e.nextTrial) >= maxCleanTrialWait || !slices.ContainsFunc(parts, func(part Part) bool {
-		return part != e.verdict.Part && r.crashedSinceCompleted(part)
-	})
+	wait := maxCleanTrialWait
+	if !e.trialAt.IsZero() && e.trialCrash != (Server{}) && !e.trialIsClean {
+		wait = maxDecisiveTrialWait
+	}
+	return now.Sub(e.nextTrial) >= wait || r.isClean(e.verdict.Part, parts)
+}
+
+// isClean reports whether a request has no part other than the given one under which servers crashed; the caller holds mu.
+func (r *Registry) isClean(part Part, parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(other Part) bool { return other != part && r.crashedSinceCompleted(other) })
 }
 
 // CancelTrial records that the last trial of a part did not reach a server.
--- a/internal/process/quarantine/entry.go
+++ b/internal/process/quarantine/entry.go
@@ -17,6 +17,8 @@
 	foundHere bool
 	// trialAt is when the last trial began; zero if there was none, or it is known to have been wasted.
 	trialAt time.Time
+	// trialIsClean means that its request had no other part under which servers crashed.
+	trialIsClean bool
 	// trialCrash is the first server that crashed under the part since then.
 	trialCrash Server
 	// unsentTrials is the number of trials that did not reach a server, and wastedTrials that of the others that showed nothing.
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -39,6 +39,8 @@
 	trialDelayFactor = 3
 	// maxCleanTrialWait is how long a trial waits for a request without other parts under which servers crashed.
 	maxCleanTrialWait = 3 * time.Second
+	// maxDecisiveTrialWait is how long it waits after a trial whose crash another part may have caused.
+	maxDecisiveTrialWait = 30 * time.Second
 	// maxEntries bounds the parts that are tracked.
 	maxEntries = 4096
 )
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -164,6 +164,44 @@
 	is.True(r.Admit(now, []quarantine.Part{soundPart, systemPart}).Trial)
 }
 
+// TestTrialAfterAmbiguousCrash verifies that after a trial that crashed together with another suspected part, the next one waits longer for a
+// request without such a part, so that it shows which of them crashes servers.
+func TestTrialAfterAmbiguousCrash(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 3, soundPart)
+	r.RecordCrash(start, server(0), []quarantine.Part{crashedPart})
+	both := []quarantine.Part{soundPart, crashedPart}
+	now := start.Add(4 * time.Second)
+	is.True(r.Admit(now, both).Trial)
+	r.RecordCrash(now, server(10), both)
+	now = now.Add(15 * time.Second)
+	is.True(!r.Admit(now, both).Admitted)
+	is.True(r.Admit(now, []quarantine.Part{soundPart}).Trial)
+	r.RecordRun(now, now, []quarantine.Part{soundPart})
+	is.True(!r.Quarantines([]quarantine.Part{soundPart}))
+}
+
+// TestTrialsWithSuspectedPartOnly verifies that a part that never comes alone gets its last trial in the end.
+func TestTrialsWithSuspectedPartOnly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := quarantine.New(quarantine.Config{})
+	crashUnder(r, 0, 3, soundPart)
+	r.RecordCrash(start, server(0), []quarantine.Part{crashedPart})
+	both := []quarantine.Part{soundPart, crashedPart}
+	trials := 0
+	for elapsed := range 60 {
+		now := start.Add(time.Duration(elapsed) * time.Second)
+		if r.Admit(now, both).Trial {
+			trials++
+			r.RecordCrash(now, server(10+trials), both)
+		}
+	}
+	is.Equal(trials, 2)
+}
+
 // TestRepeatedCompletion verifies that a completed request clears no crash that came after it, however often it is reported.
 func TestRepeatedCompletion(t *testing.T) {
 	t.Parallel()
