Other instances are told of a stream within 5 ms of its beginning

Cause: others were told in rounds of 50 ms. Change: the registry says when there is something to tell; the router waits 5 ms for streams that begin meanwhile. A router whose services have one version each wakes up no longer for it, 20 times a second before.

--- a/internal/process/origin/model_test.go
+++ b/internal/process/origin/model_test.go
@@ -20,9 +20,11 @@
 	modelMemory = 30 * time.Second
 	modelStep   = 10 * time.Millisecond
 	modelEnd    = 150 * time.Second
-	// modelShareInterval is the time between two rounds of telling, and modelAnswerTime the time after which a question is closed.
-	modelShareInterval = 50 * time.Millisecond
-	modelAnswerTime    = 180 * time.Millisecond
+	// modelAnswerTime is the time after which a question is closed, and modelReturnTime that in which callers return that do so at once.
+	modelAnswerTime = 180 * time.Millisecond
+	modelReturnTime = 50 * time.Millisecond
+	// orphanShare is one in how many streams loses its instance shortly after it began.
+	orphanShare = 100
 	// modelFreshFor is for how long an instance that is cut off from the store takes its list of servers for up to date.
 	modelFreshFor = 6 * time.Second
 	// modelConfirmedFor is for how long after a response of the store its list is confirmed.
@@ -58,6 +60,10 @@
 	returnTime time.Duration
 	events     []modelEvent
 	streams    int
+	// orphanTime is the time after which the instance of one in orphanShare streams is killed, 0 if none is; orphans and orphansFound count
+	// those of them that were taken up in touch, and there found.
+	orphanTime            time.Duration
+	orphans, orphansFound int
 	// wrong counts streams that went on at another version; taken, inTouch and found count those that were taken up, in touch, and there found.
 	wrong, taken, inTouch, found int
 }
@@ -122,13 +128,15 @@
 	if !m.cut(instance) && instance.list != nil && slices.Equal(instance.list, m.versions) {
 		instance.listAt = m.now
 	}
-	if m.now%modelShareInterval == 0 {
+	select {
+	case <-instance.known.Pending():
 		for _, began := range instance.known.TakeUnshared() {
 			for _, name := range origin.Holders(began.Stream, m.others(instance)) {
 				holder := m.byName(name)
 				m.send(instance, holder, func() { holder.known.Merge([]origin.Origin{began}) })
 			}
 		}
+	default:
 	}
 	if len(instance.list) > 0 && m.random.Float64() < 0.02 {
 		m.begin(instance)
@@ -144,11 +152,26 @@
 	m.streams++
 	id := ident.Request(fmt.Sprint("stream-", m.streams))
 	instance.known.Begin(origin.Origin{Stream: id, Service: modelService, Software: software})
-	m.after(time.Duration(m.random.Int64N(int64(m.returnTime))), func() { m.takeUp(id, software) })
+	if m.orphanTime > 0 && m.random.IntN(orphanShare) == 0 {
+		began := instance.startAt
+		m.after(m.orphanTime, func() {
+			if m.up(instance) && instance.startAt == began {
+				m.kill(instance)
+				m.takeUp(id, software, true)
+			}
+		})
+		return
+	}
+	m.after(time.Duration(m.random.Int64N(int64(m.returnTime))), func() { m.takeUp(id, software, false) })
+}
+
+// kill ends an instance, which starts again later.
+func (m *originModel) kill(instance *modelInstance) {
+	instance.known, instance.downTill = nil, m.now+time.Duration(m.random.IntN(2000))*time.Millisecond
 }
 
 // takeUp has a stream taken up at an instance that is up.
-func (m *originModel) takeUp(id ident.Request, software ident.Software) {
+func (m *originModel) takeUp(id ident.Request, software ident.Software, orphan bool) {
 	instance := m.instances[m.random.IntN(len(m.instances))]
 	if !m.up(instance) || instance.list == nil {
 		return
@@ -183,6 +206,12 @@
 			if certain {
 				m.found++
 			}
+			if orphan {
+				m.orphans++
+			}
+			if orphan && certain {
+				m.orphansFound++
+			}
 		}
 	})
 }
@@ -206,18 +235,21 @@
 // modelFaults are the faults of a run.
 type modelFaults struct {
 	// atOnce means that callers take up their streams within the time in which other instances are told of them.
-	atOnce    bool
-	instances int
-	kills     bool
-	cuts      bool
-	releases  bool
-	loss      float64
+	atOnce bool
+	// orphanTime is that of the model.
+	orphanTime time.Duration
+	instances  int
+	kills      bool
+	cuts       bool
+	releases   bool
+	loss       float64
 }
 
 func runOriginModel(seed uint64, faults modelFaults) *originModel {
 	m := &originModel{random: rand.New(rand.NewPCG(seed, seed)), loss: faults.loss, versions: []ident.Software{"v1"}, returnTime: modelMemory / 2}
+	m.orphanTime = faults.orphanTime
 	if faults.atOnce {
-		m.returnTime = modelShareInterval
+		m.returnTime = modelReturnTime
 	}
 	for index := range faults.instances {
 		m.instances = append(m.instances, &modelInstance{name: ident.Process(fmt.Sprint("router-", index))})
@@ -242,7 +274,7 @@
 		for _, instance := range m.instances {
 			switch {
 			case faults.kills && m.random.IntN(3000) == 0:
-				instance.known, instance.downTill = nil, m.now+time.Duration(m.random.IntN(2000))*time.Millisecond
+				m.kill(instance)
 			case faults.cuts && m.random.IntN(3000) == 0:
 				instance.cutTill = m.now + time.Duration(m.random.IntN(20_000))*time.Millisecond
 				instance.cutEnd = instance.cutTill
@@ -260,7 +292,8 @@
 
 // TestModelOrigins plays fleets whose instances are killed and cut off while several software versions serve. A stream that its caller takes up
 // at any instance never goes on at another version than the one that began it, in touch or not, and of those that are taken up in touch
-// at least half go on; nearly all do in a fleet that is not cut, also if they are taken up before other instances are told of them.
+// at least half go on; nearly all do in a fleet that is not cut, also if they are taken up before other instances are told of them, or their
+// instance is killed 30 ms after they began.
 func TestModelOrigins(t *testing.T) {
 	t.Parallel()
 	for name, faults := range map[string]modelFaults{
@@ -273,6 +306,7 @@
 		"large fleet":        {instances: 40, releases: true, kills: true, cuts: true, loss: 0.1},
 		"datagrams get lost": {instances: 30, releases: true, loss: 0.3},
 		"at once":            {instances: 40, releases: true, kills: true, loss: 0.1, atOnce: true},
+		"orphaned":           {instances: 20, releases: true, orphanTime: 30 * time.Millisecond},
 		"at once, few":       {instances: 3, releases: true, kills: true, loss: 0.1, atOnce: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -289,6 +323,9 @@
 				if m.inTouch >= 12 && float64(m.found) < least*float64(m.inTouch) {
 					t.Errorf("seed %d: %d of %d streams that were taken up in touch go on, want a share of %v", seed, m.found, m.inTouch, least)
 				}
+				if m.orphans >= 12 && float64(m.orphansFound) < 0.95*float64(m.orphans) {
+					t.Errorf("seed %d: %d of %d streams whose instance was killed at once go on, want a share of 0.95", seed, m.orphansFound, m.orphans)
+				}
 				t.Logf("seed %d: %d taken up, %d in touch, %d found", seed, m.taken, m.inTouch, m.found)
 			}
 		})
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -44,6 +44,8 @@
 	order []recorded
 	// unshared lists the streams that began here and were not told to other instances, by service; guarded by mu.
 	unshared map[ident.Pool][]ident.Request
+	// pending has an entry while there may be streams to tell to other instances.
+	pending chan struct{}
 	// versions holds when each software version was last among a service's servers; guarded by mu.
 	versions map[ident.Pool]map[ident.Software]clock.Reading
 	// present holds the versions of the latest list of servers; guarded by mu.
@@ -73,6 +75,7 @@
 	}
 	return &Registry{
 		config: config, streams: make(map[ident.Request]*stream), unshared: make(map[ident.Pool][]ident.Request),
+		pending:       make(chan struct{}, 1),
 		completeSince: make(map[ident.Pool]clock.Reading),
 		versions:      make(map[ident.Pool]map[ident.Software]clock.Reading), waiting: make(map[*Question]struct{}),
 	}
@@ -84,6 +87,20 @@
 	defer r.mu.Unlock()
 	r.record(origin)
 	r.unshared[origin.Service] = append(r.unshared[origin.Service], origin.Stream)
+	if _, sole := r.sole(origin.Service); !sole {
+		r.notify()
+	}
+}
+
+// Pending receives once TakeUnshared may return streams that it has not returned before.
+func (r *Registry) Pending() <-chan struct{} { return r.pending }
+
+// notify makes Pending receive.
+func (r *Registry) notify() {
+	select {
+	case r.pending <- struct{}{}:
+	default:
+	}
 }
 
 // Merge records origins that another instance has told.
@@ -173,6 +190,7 @@
 	r.see(now)
 	r.present = present
 	r.see(now)
+	r.notify()
 }
 
 // see records that the present versions are in use; the caller holds mu.
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -126,6 +126,34 @@
 	is.True(!found)
 }
 
+// TestPendingStreams checks that streams that are to be told are announced: those of a service with several versions as they begin, and those
+// that began before once a second version appears.
+func TestPendingStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := newOriginHarness()
+	pending := func() bool {
+		select {
+		case <-h.Pending():
+			return true
+		default:
+			return false
+		}
+	}
+	h.observe("v1")
+	h.now = h.now.Add(2 * modelMemory)
+	pending()
+	h.Begin(origin.Origin{Stream: "a", Service: modelService, Software: "v1"})
+	is.True(!pending())
+	h.observe("v1", "v2")
+	is.True(pending())
+	is.Equal(len(h.TakeUnshared()), 1)
+	is.True(!pending())
+	h.Begin(origin.Origin{Stream: "b", Service: modelService, Software: "v2"})
+	is.True(pending())
+	is.Equal(len(h.TakeUnshared()), 1)
+}
+
 // TestHistorySurvivesRestart checks that an instance that has just started knows by the history that others have kept that a service has had one
 // version only, and that it does not take a version for the only one of which the history knows another.
 func TestHistorySurvivesRestart(t *testing.T) {
--- a/internal/role/router/origins.go
+++ b/internal/role/router/origins.go
@@ -16,8 +16,8 @@
 
 // Limits of what instances tell each other about streams.
 const (
-	// shareOriginsInterval is the time between two rounds in which streams that began are told to others.
-	shareOriginsInterval = 50 * time.Millisecond
+	// shareOriginsDelay is the time from the beginning of a stream until others are told, together with those that begin meanwhile.
+	shareOriginsDelay = 5 * time.Millisecond
 	// askInterval is the time after which a question is sent again, in case a datagram was lost, and askAttempts how often it is sent.
 	askInterval = 60 * time.Millisecond
 	askAttempts = 3
@@ -127,7 +127,12 @@
 // share tells other instances where streams began until the context is done.
 func (o *origins) share(ctx context.Context) {
 	for ctx.Err() == nil {
-		clock.Sleep(ctx, shareOriginsInterval, nil)
+		select {
+		case <-o.known.Pending():
+		case <-ctx.Done():
+			return
+		}
+		clock.Sleep(ctx, shareOriginsDelay, nil)
 		byHolder := make(map[peers.Peer][]origin.Origin)
 		for _, began := range o.known.TakeUnshared() {
 			for _, peer := range o.selectPeers(began.Stream, origin.Holders) {
