vanillapond explain: what routers' logs say about one request

Change: the command joins, from the logs of any number of instances, the request, its attempts, the requests that took its stream up, the question where it began, and what happened to its servers, the configuration and the store from 5 s before; it says how many lines were dropped and whether builds are mixed, and names what it read if no log has the id. internal/explain reads a line at a time and keeps a bounded number.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -43,6 +43,7 @@
 	Sidecar    sidecarCommand    `command:"sidecar"  description:"run a sidecar process beside an endpoint"`
 	Router     routerCommand     `command:"router"   description:"run a router process straight before servers, on the users' platform"`
 	State      stateCommand      `command:"state"    description:"show what a running router believes"`
+	Explain    explainCommand    `command:"explain"  description:"show what routers' logs say about one request"`
 	Stub       stubCommand       `command:"stub"     description:"run a stand-in of an outside system"`
 	Config     configCommand     `command:"config"   description:"read and change the configuration"`
 	Key        keyCommand        `command:"key"      description:"make keys and their digests"`
@@ -64,6 +65,7 @@
   vanillapond key issue --entry http://127.0.0.1:8444 --customer school --class drafting --key-file school.key
   vanillapond experiment --plan examples/experiment/burst.yaml --seeds 5
   vanillapond state --router http://10.1.0.19:9464
+  vanillapond explain c4c212906cc624ed --log front-a.log --log front-b.log
   vanillapond timeline --process http://127.0.0.1:9090 --request ID
 
 Exit status: 0 done, 1 failed, 2 wrong arguments or settings. --version prints the version.`
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -26,6 +26,10 @@
 		{"router --check", command.ExitUsage, "", "--settings"},
 		{"state --router http://127.0.0.1:1", command.ExitFailed, "", "127.0.0.1:1"},
 		{"state", command.ExitUsage, "", "--router"},
+		{"explain r1 --log /nowhere", command.ExitUsage, "", "no such file"},
+		{"explain --log /nowhere", command.ExitUsage, "", "ID"},
+		{"explain r1 --log testdata/router.log", command.ExitOK, "request r1 at front-a: refused, status 503 (no server takes work)", ""},
+		{"explain r2 --log testdata/router.log", command.ExitFailed, "", "request r2: no log names it; read 2 lines"},
 		{"fly", command.ExitUsage, "", "Unknown command"},
 		{"timeline --process http://127.0.0.1:1", command.ExitOK, "", "no events of http://127.0.0.1:1"},
 	}
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"vanillapond/internal/explain"
 	"vanillapond/platform"
 	"vanillapond/platform/platformtest"
 	"vanillapond/platform/storewire"
@@ -291,6 +292,15 @@
 	})
 	assertContains(h.logs[0].String(), "event=server_gone server=i-1")
 	h.stop()
+
+	story, err := explain.Explain("id--p-vanish", []explain.Log{{Name: "front-a", Reader: strings.NewReader(h.logs[0].String())}})
+	is.NoErr(err)
+	is.Equal(len(story.Tries), 1)
+	is.Equal(story.Tries[0].Process, "front-a")
+	is.True(len(story.Tries[0].Attempts) > 0)
+	is.Equal(story.Tries[0].Attempts[0].Server, "i-1")
+	is.Equal(story.Tries[0].Attempts[0].Outcome, "lost")
+	is.Equal(story.Unreadable, 0)
 }
 
 // TestReload checks that changed bounds take effect, and that the current ones stay in force if the settings are invalid.
