Logs say whose a key that is not valid was, and which version withdrew it

Change: a configuration version remembers the keys that earlier ones had, by digest, at most 1,024, the latest first; only keys that differ between two versions are digested. Lines of such requests have the digest, customer and version; vanillapond explain shows them.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -24,7 +24,7 @@
 	logB = `t=10:00:00.000 event=start process=front-b build=0.2.0
 t=10:00:10.500 event=stream_origin stream=r1 service=s found=true software=v1 asked=1 took=1ms
 t=10:00:11.000 event=request id=r2 route=chat service=s customer=school rank=2 outcome=served status=200 reason= took_ms=500 version=7 config_age_ms=30 server=i-3 software=v1 sent=done sent_ms=490 resumes=r1
-t=10:00:11.500 event=request id=r3 route= service= customer= rank=0 outcome=denied status=401 reason="no such key" took_ms=0 version=7 config_age_ms=30
+t=10:00:11.500 event=request id=r3 route= service= customer= rank=0 outcome=denied status=401 reason="no such key" took_ms=0 version=7 config_age_ms=30 key=0a1b key_customer=school withdrawn_version=6
 `
 )
 
@@ -83,6 +83,7 @@
 	is.NoErr(explain.Text(&text, explained(t, "r3")))
 	is.True(strings.Contains(text.String(), "denied, status 401 (no such key)"))
 	is.True(strings.Contains(text.String(), "no server got it"))
+	is.True(strings.Contains(text.String(), `key 0a1b was customer "school"'s, until version 6`))
 }
 
 func TestUnknownRequest(t *testing.T) {
--- a/internal/explain/text.go
+++ b/internal/explain/text.go
@@ -20,6 +20,12 @@
 		}
 		line("  route %q, service %q, customer %q, priority %s; configuration version %s, confirmed %s ms before", try.get("route"), try.get("service"),
 			try.get("customer"), try.get("rank"), try.get("version"), try.get("config_age_ms"))
+		switch key := try.get("key"); {
+		case key != "" && try.get("key_customer") != "":
+			line("  key %s was customer %q's, until version %s", key, try.get("key_customer"), try.get("withdrawn_version"))
+		case key != "":
+			line("  key %s was not valid in any version that the process has had since its start", key)
+		}
 		for index, attempt := range try.Attempts {
 			line("  attempt %d: server %s, %s after %s ms%s", index+1, attempt.Server, attempt.Outcome, attempt.Duration, withReason(attempt.Cause))
 		}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -140,6 +140,9 @@
 	Parts []quarantine.Part
 	// QuarantinedPart is the part for which the request was refused, or let through as a trial; 0 if it has none.
 	QuarantinedPart quarantine.Part
+	// Key is the digest of a key that is not valid, and Withdrawal what is known of it; empty for other requests.
+	Key        routes.KeyDigest
+	Withdrawal routes.Withdrawal
 	// Resumes is the id of the caller's request that began the stream which this one takes up; empty if it takes up none.
 	Resumes string
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
@@ -379,6 +382,8 @@
 	case customer == nil && age > config.MaxDenyAge(), customer != nil && age > config.MaxKeyAge():
 		return unavailable("keys cannot be checked while the configuration is old", time.Second)
 	case customer == nil:
+		c.record.Key = routes.Digest(c.key)
+		c.record.Withdrawal, _ = table.Withdrawal(c.record.Key)
 		return deny(http.StatusUnauthorized, "no such key")
 	}
 	c.customer = customer
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -233,6 +233,9 @@
 	if record.Resumes != "" {
 		pairs = append(pairs, "resumes", record.Resumes)
 	}
+	if record.Key != "" {
+		pairs = append(pairs, "key", record.Key, "key_customer", record.Withdrawal.Customer, "withdrawn_version", int64(record.Withdrawal.Version))
+	}
 	if record.Route == "" {
 		pairs = append(pairs, "host", record.Host, "path", record.Path)
 	}
--- a/internal/role/router/router_test.go
+++ b/internal/role/router/router_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"vanillapond/internal/explain"
+	"vanillapond/internal/version/routes"
 	"vanillapond/platform"
 	"vanillapond/platform/platformtest"
 	"vanillapond/platform/storewire"
@@ -267,7 +268,8 @@
 
 	code, _ := h.send(0, "/p/denied", "wrong")
 	is.Equal(code, http.StatusUnauthorized)
-	assertContains(requestLine("id--p-denied"), "outcome=denied", "status=401", `reason="no such key"`, "version=1", "config_age_ms=")
+	assertContains(requestLine("id--p-denied"), "outcome=denied", "status=401", `reason="no such key"`, "version=1", "config_age_ms=",
+		"key="+string(routes.Digest("wrong")), "key_customer= ", "withdrawn_version=0")
 	assertContains(h.logs[0].String(), "event=configuration version=1", "customers=1")
 
 	code, _ = h.send(0, "/none/x", "right")
--- a/internal/version/routes/current.go
+++ b/internal/version/routes/current.go
@@ -49,8 +49,12 @@
 	if configuration.Version <= c.Version() {
 		return false
 	}
-	c.advanced = c.Version() != 0
-	c.table.Store(New(configuration))
+	next := New(configuration)
+	if before := c.table.Load(); before != nil {
+		c.advanced = true
+		next.follow(before)
+	}
+	c.table.Store(next)
 	return true
 }
 
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -19,7 +19,9 @@
 	// hosts holds the routes by lower-case host, those with the longest path prefix first.
 	hosts map[string][]*platform.Route
 	// customers holds the customers by key; it is empty if no request needs a key.
-	customers  map[string]*platform.Customer
+	customers map[string]*platform.Customer
+	// withdrawn holds keys that earlier versions had and this one has not, at most maxWithdrawals.
+	withdrawn  map[KeyDigest]Withdrawal
 	services   map[ident.Pool]*platform.Service
 	priorities priorities
 	// longestTimeout is the longest timeout of a route.
