Requests wait for a server with a rate limit instead of going to one that fails them all

Cause: a server without a turn is not a candidate, so that the failing one, which only costs more, was the only one. Change: while a healthy server takes requests later, one that fails three quarters or more of its requests is left out, but for one probe a second. The request is refused as not run, with the time to come back. Servers of another software version are no reason to wait, nor is anything else changed where no server has a limit. Result: TestFailingServerWhileOthersWait failed, passes.

--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -149,7 +149,7 @@
 	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
 		return c.candidates(ready, table)
 	})
-	c.query.Exclude = c.excluded(ready)
+	c.excludeServers(ready)
 	choice, found := balancer.Pick(now, c.query)
 	if !found {
 		c.refuse(unavailable(c.noServerReason(ready), c.serversRetryAfter()))
--- a/internal/request/forward/software.go
+++ b/internal/request/forward/software.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"slices"
+
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/origin"
 	"vanillapond/pkg/ident"
@@ -42,19 +44,22 @@
 	}
 }
 
-// excluded returns the servers that must not get the request now: those to which this instance has no turn, and those with another
+// excludeServers excludes the servers that must not get the request now: those to which this instance has no turn, and those with another
 // software version than the one that began the stream.
-func (c *call) excluded(ready []*servers.Server) []ident.Endpoint {
-	excluded := c.forwarder.config.Servers.WithoutTurn()
+func (c *call) excludeServers(ready []*servers.Server) {
+	withoutTurn := c.forwarder.config.Servers.WithoutTurn()
+	c.query.Exclude, c.query.Later = withoutTurn, withoutTurn
 	if !c.begun {
-		return excluded
+		return
 	}
+	var otherVersions []ident.Endpoint
 	for _, server := range ready {
 		if server.Software != c.software {
-			excluded = append(excluded, server.ID)
+			otherVersions = append(otherVersions, server.ID)
 		}
 	}
-	return excluded
+	c.query.Exclude = slices.Concat(withoutTurn, otherVersions)
+	c.query.Later = slices.DeleteFunc(withoutTurn, func(id ident.Endpoint) bool { return slices.Contains(otherVersions, id) })
 }
 
 // noServerReason returns why no server takes the request.
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -54,6 +54,8 @@
 	Avoid []ident.Endpoint
 	// Exclude holds the servers that must not get the request now for other reasons.
 	Exclude []ident.Endpoint
+	// Later holds those of Exclude that take the request later.
+	Later []ident.Endpoint
 }
 
 // Choice is the server picked for a request, with the estimates that led to it.
@@ -233,14 +235,15 @@
 }
 
 // collectEligible sets eligible to the members that are neither in query.Avoid, nor in query.Exclude, nor ejected. If all other members
-// are ejected, it sets eligible to these.
+// are ejected, it sets eligible to these. It leaves out failing servers while a healthy one takes the request later.
 func (b *Balancer) collectEligible(now time.Time, query Query) {
 	b.eligible = b.eligible[:0]
 	prefilled := b.prefilledSince(now)
+	canWait := b.hasHealthy(now, query.Later)
 	for _, ejected := range []bool{false, true} {
 		for _, candidate := range b.members {
 			if candidate.health.ejected(now) != ejected || slices.Contains(query.Avoid, candidate.ID) ||
-				slices.Contains(query.Exclude, candidate.ID) {
+				slices.Contains(query.Exclude, candidate.ID) || canWait && candidate.isFailing(now) {
 				continue
 			}
 			candidate.load = candidate.remote
@@ -254,3 +257,10 @@
 		}
 	}
 }
+
+// hasHealthy reports whether one of the servers is a member that is neither ejected nor failing.
+func (b *Balancer) hasHealthy(now time.Time, ids []ident.Endpoint) bool {
+	return len(ids) > 0 && slices.ContainsFunc(b.members, func(member *server) bool {
+		return slices.Contains(ids, member.ID) && !member.health.ejected(now) && !member.isFailing(now)
+	})
+}
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -163,6 +163,41 @@
 	is.True(!found)
 }
 
+// TestFailingServerWhileOthersWait checks that requests wait for a healthy server that takes them later, such as one with a rate limit, instead of
+// being sent to one that fails all of them, which is probed; they are sent there if the healthy one never takes them.
+func TestFailingServerWhileOthersWait(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	balancer := withCandidates(placement.New(1), engines(2))
+	excluded := []ident.Endpoint{"e0"}
+	never := placement.Query{Exclude: excluded}
+	later := placement.Query{Exclude: excluded, Later: excluded}
+	now := start
+	for range 30 {
+		_, attempt := pickAndSend(t, balancer, now, never)
+		attempt.End(now, placement.Failed)
+	}
+	_, found := balancer.Pick(now, later)
+	is.True(!found)
+	_, found = balancer.Pick(now, never)
+	is.True(found)
+	now = now.Add(2 * time.Second)
+	choice, probe := pickAndSend(t, balancer, now, later)
+	is.Equal(choice.Server, ident.Endpoint("e1"))
+	_, found = balancer.Pick(now, later)
+	is.True(!found) // one probe at a time
+	probe.End(now, placement.Failed)
+	_, found = balancer.Pick(now, later)
+	is.True(!found)
+	now = now.Add(2 * time.Second)
+	for range 4 {
+		_, probe = pickAndSend(t, balancer, now, later)
+		probe.End(now, placement.Succeeded)
+	}
+	_, found = balancer.Pick(now, later)
+	is.True(found) // requests succeed again
+}
+
 // TestBalancerProperties checks that no load is ever negative and that all load is zero after the last request, for any
 // order of sends, first events and ends.
 func TestBalancerProperties(t *testing.T) {
