--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// context is how long before a request what happened to its servers and to the store is shown.
-	context = 5 * time.Second
+	// contextTime is how long before a request what happened to its servers and to the store is shown.
+	contextTime = 5 * time.Second
 	// maxContext bounds the lines that are shown as the context of one request.
 	maxContext = 40
 	// maxLine is the longest line that is read, in bytes.
@@ -150,7 +150,7 @@
 		}
 	}
 	took, _ := strconv.Atoi(line.get("took_ms"))
-	begin := line.at.Add(-time.Duration(took)*time.Millisecond - context)
+	begin := line.at.Add(-time.Duration(took)*time.Millisecond - contextTime)
 	servers := line.all("server")
 	for _, each := range recent {
 		about := dependencyEvents[each.Event] || each.Event != "request" && slices.Contains(servers, each.get("server"))
--- a/internal/version/routes/withdrawn.go
+++ b/internal/version/routes/withdrawn.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -63,7 +64,7 @@
 		return withdrawn
 	}
 	keys := slices.Collect(maps.Keys(withdrawn))
-	slices.SortFunc(keys, func(a, b KeyDigest) int { return int(withdrawn[b].Version - withdrawn[a].Version) })
+	slices.SortFunc(keys, func(a, b KeyDigest) int { return cmp.Compare(withdrawn[b].Version, withdrawn[a].Version) })
 	for _, key := range keys[maxWithdrawals:] {
 		delete(withdrawn, key)
 	}
