Streams that nobody needs to be told of are forgotten as new ones begin

Since the list of streams to tell is read only when there is something to tell; while a service has one version that is never, and reading it was what dropped the streams that can't be taken up any more. Change: Begin drops them, in the place where the list grows, and bounds it. Result: TestUnsharedStreamsAreBounded failed (1,000 ids instead of those of a minute), passes; tests of origin with -race pass.

--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -42,7 +42,7 @@
 	streams map[ident.Request]*stream
 	// order lists streams by when they were last recorded, with one entry for each time, the oldest first; guarded by mu.
 	order []recorded
-	// unshared lists the streams that began here and were not told to other instances, by service; guarded by mu.
+	// unshared lists the streams that began here and were not told to other instances, by service, each at most maxStreams; guarded by mu.
 	unshared map[ident.Pool][]ident.Request
 	// pending has an entry while there may be streams to tell to other instances.
 	pending chan struct{}
@@ -87,6 +87,12 @@
 	defer r.mu.Unlock()
 	r.record(origin)
 	r.unshared[origin.Service] = append(r.unshared[origin.Service], origin.Stream)
+	// Streams that can't be taken up any more need not be told later.
+	ids := r.unshared[origin.Service]
+	for len(ids) > maxStreams || !r.knows(ids[0]) {
+		ids = ids[1:]
+	}
+	r.unshared[origin.Service] = ids
 	if _, sole := r.sole(origin.Service); !sole {
 		r.notify()
 	}
@@ -161,11 +167,6 @@
 	var origins []Origin
 	for service, ids := range r.unshared {
 		if _, sole := r.sole(service); sole {
-			// Streams that can't be taken up any more need not be told later.
-			for len(ids) > 0 && !r.knows(ids[0]) {
-				ids = ids[1:]
-			}
-			r.unshared[service] = ids
 			continue
 		}
 		for _, id := range ids {
