Foundation of load-aware routing: which services use it, load headers, latency-sensitive streams by the service's shortest pause

Cause: streams counted as latency-sensitive only up to a pause of 220 ms, so at services whose streams all allow more, nothing was reserved and no running stream was weighed in a placement; the prefill rate started at 16 tokens/ms and learned only from prompts of 3,000 unshared tokens. Change: routes.Table.LoadAware and ShortestPause, placement.Settings, platform.Load for X-Server-Load, hooks for events and loads; at load-aware services the streams with the shortest pause are latency-sensitive, the first rate is 64 tokens/ms and samples start at 1,000 tokens.

--- a/internal/request/forward/announce.go
+++ b/internal/request/forward/announce.go
@@ -8,6 +8,7 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/sharedrate"
+	"vanillapond/internal/request/placement"
 	"vanillapond/platform"
 )
 
@@ -35,6 +36,23 @@
 	}
 }
 
+// reportLoad passes what a server says about its load on to the balancer of a load-aware service.
+func (c *call) reportLoad(response *direct.Response, server *servers.Server, attempt *placement.Attempt) {
+	config := c.forwarder.config
+	if !config.Current.Table().LoadAware(c.service) {
+		return
+	}
+	load, found, err := platform.Load(response.Header)
+	switch {
+	case err != nil:
+		config.OnInvalidLoad(server.ID, err)
+	case found:
+		attempt.ReportLoad(time.Now(), placement.ReportedLoad{
+			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, WorkPercent: load.WorkPercent,
+		})
+	}
+}
+
 // observeLimit records the rate limit that a response names. A refusal without one says nothing: the server may write it without regard to
 // its limit.
 func (c *call) observeLimit(response *direct.Response, server *servers.Server) {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -83,10 +83,9 @@
 	MaxDenyAge func() time.Duration
 	// Observe is called once at the end of each request.
 	Observe func(Record)
-	// OnInvalidPause receives the error of a server's response that asks for an invalid pause, and OnInvalidLimit that of one that names an
-	// invalid rate limit; a nil OnInvalidLimit is not called.
-	OnInvalidPause func(server ident.Endpoint, err error)
-	OnInvalidLimit func(server ident.Endpoint, err error)
+	// OnInvalidPause receives the error of a server's response that asks for an invalid pause, OnInvalidLimit that of one that names an
+	// invalid rate limit, and OnInvalidLoad that of one with an invalid load; those that are nil are not called.
+	OnInvalidPause, OnInvalidLimit, OnInvalidLoad func(server ident.Endpoint, err error)
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -105,8 +104,10 @@
 	if config.HasCrashed == nil {
 		config.HasCrashed = func(*servers.Server, error) bool { return false }
 	}
-	if config.OnInvalidLimit == nil {
-		config.OnInvalidLimit = func(ident.Endpoint, error) {}
+	for _, report := range []*func(ident.Endpoint, error){&config.OnInvalidPause, &config.OnInvalidLimit, &config.OnInvalidLoad} {
+		if *report == nil {
+			*report = func(ident.Endpoint, error) {}
+		}
 	}
 	return &Forwarder{config: config}
 }
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -146,6 +146,7 @@
 	balancer := c.forwarder.config.Balancer(c.service)
 	ready, generation := c.forwarder.config.Servers.Ready(c.service)
 	table := c.forwarder.config.Current.Table()
+	balancer.Configure(settings(table, c.service))
 	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
 		return c.candidates(ready, table)
 	})
@@ -218,6 +219,18 @@
 	return candidates
 }
 
+// settings returns the settings of a service's balancer.
+func settings(table *routes.Table, service ident.Pool) placement.Settings {
+	if !table.LoadAware(service) {
+		return placement.Settings{}
+	}
+	settings := placement.Settings{LoadAware: true, ShortestPause: table.ShortestPause(service)}
+	if known := table.Service(service); known != nil && known.Engine != nil {
+		settings.TokensPerEvent = known.Engine.TokensPerEvent
+	}
+	return settings
+}
+
 func findServer(list []*servers.Server, id ident.Endpoint) *servers.Server {
 	for _, server := range list {
 		if server.ID == id {
@@ -247,6 +260,7 @@
 		return undelivered, placement.Unreachable
 	}
 	c.applyAnnouncements(response, server)
+	c.reportLoad(response, server, attempt)
 	c.serversTried++
 	if response.Header.Get(platform.HeaderNotExecuted) != "" {
 		return refusedByServer, placement.Overloaded
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -86,6 +86,8 @@
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
 			c.countStart()
+		} else {
+			r.attempt.Event(now)
 		}
 		c.recordEvent(now)
 		c.lastEventHasID = event.HasID
--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// Event records a further event of a stream, after the first.
+func (a *Attempt) Event(now time.Time) { _ = now }
+
+// ReportedLoad is what a server says about its load in a response. It contains the requests that were sent before the response.
+type ReportedLoad struct {
+	// Running and Waiting count the server's requests, and Slots the requests that it runs at a time.
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the server's machine now, 100 as usual; 0 if the server does not say.
+	WorkPercent float64
+}
+
+// ReportLoad records what the server says about its load at the head of its response.
+func (a *Attempt) ReportLoad(now time.Time, load ReportedLoad) { _, _ = now, load }
+
 // Result is the result of a request as far as it reflects on the health of the server.
 type Result int
 
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -86,10 +86,12 @@
 	// generation is the generation of members, to detect changes of the caller's list; guarded by mu.
 	generation Generation
 	// members are the servers that accept new requests, in an order that is the same at all router instances; guarded by mu.
-	members     []*server
-	servers     map[ident.Endpoint]*server
-	peers       map[ident.Process]peerReport
-	speed       prefillSpeed
+	members []*server
+	servers map[ident.Endpoint]*server
+	peers   map[ident.Process]peerReport
+	speed   prefillSpeed
+	// settings are those of the service; guarded by mu.
+	settings    Settings
 	reservation reservation
 	cache       prefixCache
 	random      *rand.Rand
--- a/internal/request/placement/speed.go
+++ b/internal/request/placement/speed.go
@@ -15,8 +15,13 @@
 	defaultRate = 16.0
 	// baseLatency is the time to the first event of a short prompt.
 	baseLatency = 15 * time.Millisecond
-	// minSampleTokens is the minimum length of a prompt whose prefill is used as a sample.
-	minSampleTokens = 3000
+	// loadAwareRate replaces defaultRate at load-aware services. It is at the fast end, because a rate that is too low makes the first requests be refused
+	// as late, and one that is too high is corrected by the first response.
+	loadAwareRate = 64.0
+	// minSampleTokens is the minimum length of a prompt whose prefill is used as a sample, and minLoadAwareTokens that of load-aware services, whose
+	// prompts may all be short.
+	minSampleTokens    = 3000
+	minLoadAwareTokens = 1000
 	// maxSamples is the number of samples kept, and rateQuantile the quantile of them that is used as the rate. It is high
 	// because load that this instance does not know of makes samples too slow, and nothing makes them too fast.
 	maxSamples   = 61
@@ -41,13 +46,31 @@
 	next int
 	// minPause is the shortest MaxPause of any latency-sensitive stream so far; 0 before the first.
 	minPause time.Duration
+	// maxSensitivePause is the longest MaxPause of a stream that counts as latency-sensitive.
+	maxSensitivePause time.Duration
+	// minTokens is the minimum length of a prompt whose prefill is used as a sample.
+	minTokens ident.Tokens
 }
 
-func newPrefillSpeed() prefillSpeed { return prefillSpeed{rate: defaultRate} }
+func newPrefillSpeed() prefillSpeed {
+	return prefillSpeed{rate: defaultRate, maxSensitivePause: sensitivePause, minTokens: minSampleTokens}
+}
+
+// configure applies the settings of the service; the samples so far stay.
+func (s *prefillSpeed) configure(settings Settings) {
+	s.maxSensitivePause, s.minTokens, s.minPause = sensitivePause, minSampleTokens, 0
+	prior := defaultRate
+	if settings.LoadAware {
+		s.maxSensitivePause, s.minTokens, prior = settings.ShortestPause, minLoadAwareTokens, loadAwareRate
+	}
+	if len(s.samples) == 0 {
+		s.rate = prior
+	}
+}
 
 // observe adds a sample: the time to the first event of a prompt that the engine prefilled without others ahead of it.
 func (s *prefillSpeed) observe(tokens ident.Tokens, took time.Duration) {
-	if tokens < minSampleTokens || took <= baseLatency {
+	if tokens < s.minTokens || took <= baseLatency {
 		return
 	}
 	rate := float64(tokens) / milliseconds(took-baseLatency)
@@ -77,7 +100,7 @@
 // latencySensitive reports whether a long prefill on the engine of a stream with this MaxPause makes the stream late, and
 // updates minPause.
 func (s *prefillSpeed) latencySensitive(pause time.Duration) bool {
-	if pause <= 0 || pause > sensitivePause {
+	if pause <= 0 || pause > s.maxSensitivePause {
 		return false
 	}
 	if s.minPause == 0 || pause < s.minPause {
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -26,6 +26,7 @@
 	priorities priorities
 	// longestTimeout is the longest timeout of a route.
 	longestTimeout time.Duration
+	loadAwareness  loadAwareness
 }
 
 // New returns the table of a configuration version.
@@ -55,6 +56,7 @@
 		}
 	}
 	t.priorities = newPriorities(configuration)
+	t.loadAwareness = newLoadAwareness(configuration)
 	return t
 }
 
