--- a/internal/request/forward/announce.go
+++ b/internal/request/forward/announce.go
@@ -9,6 +9,7 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/request/placement"
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/platform"
 )
 
@@ -45,11 +46,24 @@
 	load, found, err := platform.Load(response.Header)
 	switch {
 	case err != nil:
-		config.OnInvalidLoad(server.ID, err)
+		c.reportFalseLoad(server, attempt.RejectLoad(), err)
 	case found:
-		attempt.ReportLoad(time.Now(), placement.ReportedLoad{
+		c.reportFalseLoad(server, attempt.ReportLoad(time.Now(), placement.ReportedLoad{
 			Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, WorkPercent: load.WorkPercent,
-		})
+		}), nil)
+	}
+}
+
+// reportFalseLoad reports in which ways the load header of a server is false; err is the error of one that cannot be read.
+func (c *call) reportFalseLoad(server *servers.Server, findings []servermodel.Finding, err error) {
+	config := c.forwarder.config
+	for _, finding := range findings {
+		if finding.Cause == servermodel.Malformed && finding.First {
+			config.OnInvalidLoad(server.ID, err)
+		}
+		if config.OnFalseLoad != nil {
+			config.OnFalseLoad(server.ID, finding)
+		}
 	}
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -17,6 +17,7 @@
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -85,7 +86,10 @@
 	Observe func(Record)
 	// OnInvalidPause receives the error of a server's response that asks for an invalid pause, OnInvalidLimit that of one that names an
 	// invalid rate limit, and OnInvalidLoad that of one with an invalid load; those that are nil are not called.
+	// OnInvalidLoad is called once per start of a server with a server model.
 	OnInvalidPause, OnInvalidLimit, OnInvalidLoad func(server ident.Endpoint, err error)
+	// OnFalseLoad receives each false load header of a server; nil is not called.
+	OnFalseLoad func(server ident.Endpoint, finding servermodel.Finding)
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/pkg/ident"
 )
 
@@ -20,8 +21,13 @@
 	noBacklog bool
 	// unsharedTokens counts the prompt tokens that no other request shares, so that the server must prefill them.
 	unsharedTokens ident.Tokens
-	started        bool
-	ended          bool
+	// ahead counts the tokens that the server was known to prefill before those of the request when it was sent.
+	ahead ident.Tokens
+	// serverStartedMS is when the server had started to which the request was sent, as in Candidate.
+	serverStartedMS int64
+	stream          servermodel.Stream
+	started         bool
+	ended           bool
 }
 
 // StartAttempt records that a request is sent to the chosen server.
@@ -32,8 +38,10 @@
 	attempt := &Attempt{
 		balancer: b, server: server, sentAt: now, expected: choice.TimeToFirstEvent, load: Load{Active: 1},
 		noBacklog: choice.Load.Prefill.Total() == 0, unsharedTokens: query.Prompt - sharedTokens(query.Parts),
+		serverStartedMS: server.StartedUnixMS,
 	}
 	if query.Engine {
+		attempt.ahead = choice.Load.Prefill.upTo(query.PriorityLevel)
 		attempt.priority = query.PriorityLevel
 		attempt.load.Prefill[query.PriorityLevel] = choice.Uncached
 		attempt.load.KVTokens = query.Prompt + query.Output
@@ -57,25 +65,14 @@
 	a.started = true
 	a.server.local.Prefill[a.priority] -= a.load.Prefill[a.priority]
 	a.load.Prefill = PrefillTokens{}
-	if a.noBacklog {
+	switch {
+	case a.balancer.usesModel():
+		a.sampleFirstEvent(now)
+	case a.noBacklog:
 		a.balancer.speed.observe(a.unsharedTokens, now.Sub(a.sentAt))
 	}
 }
 
-// Event records a further event of a stream, after the first.
-func (a *Attempt) Event(now time.Time) { _ = now }
-
-// ReportedLoad is what a server says about its load in a response. It contains the requests that were sent before the response.
-type ReportedLoad struct {
-	// Running and Waiting count the server's requests, and Slots the requests that it runs at a time.
-	Running, Waiting, Slots int
-	// WorkPercent is how long work takes on the server's machine now, 100 as usual; 0 if the server does not say.
-	WorkPercent float64
-}
-
-// ReportLoad records what the server says about its load at the head of its response.
-func (a *Attempt) ReportLoad(now time.Time, load ReportedLoad) { _, _ = now, load }
-
 // Result is the result of a request as far as it reflects on the health of the server.
 type Result int
 
--- a/internal/request/placement/load.go
+++ b/internal/request/placement/load.go
@@ -106,9 +106,9 @@
 	}
 }
 
-// prefilledSince estimates how many tokens an engine has prefilled since the peers' reports, using the mean age of the
-// reports; the caller holds mu.
-func (b *Balancer) prefilledSince(now time.Time) ident.Tokens {
+// meanReportAge returns the mean age of the peers' reports, by which the tokens are estimated that an engine has prefilled since; the caller
+// holds mu.
+func (b *Balancer) meanReportAge(now time.Time) time.Duration {
 	if len(b.peers) == 0 {
 		return 0
 	}
@@ -116,7 +116,7 @@
 	for _, report := range b.peers {
 		age += now.Sub(report.reportedAt)
 	}
-	return b.speed.tokensIn(age / time.Duration(len(b.peers)))
+	return age / time.Duration(len(b.peers))
 }
 
 // LocalLoad returns the load that this router instance has sent, by server; servers without any are left out.
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/pkg/ident"
 )
 
@@ -26,6 +27,8 @@
 	Slots int
 	// KVCapacity is the capacity of the engine's KV cache in tokens; 0 for a server that is not an inference engine.
 	KVCapacity ident.Tokens
+	// StartedUnixMS is when the server started, in Unix milliseconds. If it changes, the server has restarted, and its speed is estimated anew.
+	StartedUnixMS int64
 }
 
 // Part is a part of a prompt; PrefixHash is a hash of it and of all parts before it.
@@ -91,7 +94,9 @@
 	peers   map[ident.Process]peerReport
 	speed   prefillSpeed
 	// settings are those of the service; guarded by mu.
-	settings    Settings
+	settings Settings
+	// model estimates the speed of the servers of a load-aware engine service, nil at others; guarded by mu.
+	model       *servermodel.Model
 	reservation reservation
 	cache       prefixCache
 	random      *rand.Rand
@@ -117,11 +122,15 @@
 	health health
 	// attempts are this instance's requests in flight at the server.
 	attempts map[*Attempt]struct{}
+	// speed is the server's state in the balancer's model, nil without one.
+	speed *servermodel.Server
 
 	// The following fields are valid during one call of Pick.
 
 	// load is the estimated load from all router instances.
 	load Load
+	// figures are the server's estimated speed.
+	figures figures
 	// preference is the server's index among the preferred engines of the request's prefix, or preferredCount for others.
 	preference int
 	// reserved reports whether the server is reserved for latency-sensitive streams.
@@ -164,6 +173,7 @@
 	for _, candidate := range list() {
 		known := b.server(candidate.ID)
 		known.Candidate = candidate
+		b.trackSpeed(known)
 		b.members = append(b.members, known)
 		present[candidate.ID] = true
 	}
@@ -172,6 +182,7 @@
 		if !present[id] && len(known.attempts) == 0 {
 			delete(b.servers, id)
 			b.cache.removeServer(known)
+			b.forgetSpeed(known)
 		}
 	}
 }
@@ -197,8 +208,8 @@
 	}
 	if query.Engine {
 		choice.Uncached = chosen.uncachedTokens(query, sharedTokens(query.Parts))
-		choice.QueueDelay = b.speed.prefillTime(chosen.load.Prefill.upTo(query.PriorityLevel))
-		choice.TimeToFirstEvent = choice.QueueDelay + b.speed.prefillTime(choice.Uncached) + b.speed.base()
+		choice.QueueDelay = chosen.figures.prefillTime(chosen.load.Prefill.upTo(query.PriorityLevel))
+		choice.TimeToFirstEvent = choice.QueueDelay + chosen.figures.prefillTime(choice.Uncached) + chosen.figures.base()
 	}
 	return choice, true
 }
@@ -240,7 +251,7 @@
 // are ejected, it sets eligible to these. It leaves out failing servers while a healthy one takes the request later.
 func (b *Balancer) collectEligible(now time.Time, query Query) {
 	b.eligible = b.eligible[:0]
-	prefilled := b.prefilledSince(now)
+	reportAge := b.meanReportAge(now)
 	canWait := b.hasHealthy(now, query.Later)
 	for _, ejected := range []bool{false, true} {
 		for _, candidate := range b.members {
@@ -249,7 +260,8 @@
 				continue
 			}
 			candidate.load = candidate.remote
-			candidate.load.Prefill.drain(prefilled)
+			candidate.figures = b.figures(now, candidate)
+			candidate.load.Prefill.drain(candidate.figures.tokensIn(reportAge))
 			candidate.load.add(candidate.local)
 			candidate.preference, candidate.reserved, candidate.cachedParts, candidate.cachedTokens = preferredCount, false, 0, 0
 			b.eligible = append(b.eligible, candidate)
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -21,4 +21,5 @@
 	}
 	b.settings = settings
 	b.speed.configure(settings)
+	b.configureModel()
 }
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/pkg/ident"
 )
 
@@ -17,6 +18,9 @@
 	EjectedFor time.Duration
 	// Overdue counts this instance's requests at the server whose first event is overdue.
 	Overdue int
+	// Speed is the server's estimated speed, and HasSpeed whether the service has a server model.
+	Speed    servermodel.Figures
+	HasSpeed bool
 }
 
 // ServerStatuses returns the view of each server that accepts new requests, in no particular order.
@@ -24,16 +28,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expirePeers(now)
-	prefilled := b.prefilledSince(now)
+	reportAge := b.meanReportAge(now)
 	statuses := make([]ServerStatus, 0, len(b.members))
 	for _, candidate := range b.members {
 		total := candidate.remote
-		total.Prefill.drain(prefilled)
+		known := b.figures(now, candidate)
+		total.Prefill.drain(known.tokensIn(reportAge))
 		total.add(candidate.local)
-		statuses = append(statuses, ServerStatus{
+		status := ServerStatus{
 			Server: candidate.ID, Local: candidate.local, Total: total, FailureRate: candidate.health.failureRate,
 			EjectedFor: max(candidate.health.ejectedUntil.Sub(now), 0), Overdue: candidate.overdue(now),
-		})
+		}
+		if candidate.speed != nil {
+			status.Speed, status.HasSpeed = candidate.speed.Figures(now), true
+		}
+		statuses = append(statuses, status)
 	}
 	return statuses
 }
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -18,6 +18,7 @@
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/pkg/ident"
 )
 
@@ -58,6 +59,8 @@
 	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
 	// Origins is about streams and where they began.
 	Origins originMessage `cbor:"12,keyasint"`
+	// Speeds is what the sender has measured of the servers of its load-aware engine services.
+	Speeds map[ident.Pool]servermodel.Report `cbor:"13,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -125,6 +128,7 @@
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
+		g.mergeSpeeds(now, received)
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
@@ -217,7 +221,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(),
+		Limits: r.servers.LimitReports(), Speeds: r.speedReports(time.Now()),
 	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -34,6 +34,7 @@
 	suspectEvents        *prometheus.CounterVec
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
+	falseLoads           *prometheus.CounterVec
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -88,13 +89,14 @@
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "vanillapond_router_server_crashes_total", Help: "Servers that crashed during requests with prompt parts.",
 		}),
+		falseLoads: newFalseLoads(),
 		droppedLines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
-	m.registry.MustRegister(retryBudgetCollector{r})
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes, m.falseLoads)
+	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -222,9 +222,9 @@
 		Budget:    r.retryBudgets.get,
 		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
-		OnInvalidLoad: r.recordInvalid("load_invalid"),
-		MaxKeyAge:     func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
-		MaxDenyAge:    func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
+		OnInvalidLoad: r.recordInvalid("load_invalid"), OnFalseLoad: r.recordFalseLoad,
+		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
+		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
 	})
 }
 
--- a/internal/role/router/state.go
+++ b/internal/role/router/state.go
@@ -64,6 +64,8 @@
 	// EjectedMS is for how long the server gets no new requests from this instance, because a connection failed or the server was
 	// full.
 	EjectedMS int64 `json:"out_ms,omitempty"`
+	// SpeedState is the server's estimated speed; only servers of load-aware engine services have one.
+	*SpeedState
 	// Missing reports that the server is used although its registration is not in the store, as after an outage of the store.
 	Missing bool `json:"missing,omitempty"`
 }
@@ -103,7 +105,7 @@
 		states = append(states, ServerState{
 			Server: server.ID, Service: server.Service, Address: server.Address, Domain: server.Domain, State: string(server.State),
 			Local: status.Local.Active, Active: status.Total.Active, Slots: server.Slots, Prefill: status.Total.Prefill.Total(),
-			Failures: status.FailureRate, Overdue: status.Overdue, EjectedMS: status.EjectedFor.Milliseconds(), Missing: server.Missing(),
+			SpeedState: speedState(now, status), Failures: status.FailureRate, Overdue: status.Overdue, EjectedMS: status.EjectedFor.Milliseconds(), Missing: server.Missing(),
 		})
 	}
 	slices.SortFunc(states, func(a, b ServerState) int {
