Instances that are cut off from the store send callers to others at once

Change: where a service is load-aware, such a refusal closes the connection, and asks to return within 100 ms while most peers report a current configuration (gossip key 17); the age only decides Retry-After, keys are accepted as before.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -81,6 +81,8 @@
 	// MaxDenyAge returns the greatest age of the configuration at which a request is denied for an unknown route or key, because
 	// either may have been added since.
 	MaxDenyAge func() time.Duration
+	// PeersCurrent reports whether most other instances have a configuration that is new enough to accept keys; nil means that this is not known.
+	PeersCurrent func() bool
 	// Observe is called once at the end of each request.
 	Observe func(Record)
 	// OnInvalidPause receives the error of a server's response that asks for an invalid pause, OnInvalidLimit that of one that names an
@@ -104,6 +106,9 @@
 	if config.HasCrashed == nil {
 		config.HasCrashed = func(*servers.Server, error) bool { return false }
 	}
+	if config.PeersCurrent == nil {
+		config.PeersCurrent = func() bool { return false }
+	}
 	for _, report := range []*func(ident.Endpoint, error){&config.OnInvalidPause, &config.OnInvalidLimit, &config.OnInvalidLoad} {
 		if *report == nil {
 			*report = func(ident.Endpoint, error) {}
@@ -366,7 +371,7 @@
 	route := table.Match(c.request.Host, c.request.URL.EscapedPath())
 	if route == nil {
 		if age > config.MaxDenyAge() {
-			return unavailable("route is unknown and the configuration is old", time.Second)
+			return c.outdated("route is unknown and the configuration is old")
 		}
 		return deny(http.StatusNotFound, "no such route")
 	}
@@ -381,7 +386,7 @@
 	customer := table.Customer(c.key)
 	switch {
 	case customer == nil && age > config.MaxDenyAge(), customer != nil && age > config.MaxKeyAge():
-		return unavailable("keys cannot be checked while the configuration is old", time.Second)
+		return c.outdated("keys cannot be checked while the configuration is old")
 	case customer == nil:
 		c.record.Key = routes.Digest(c.key)
 		c.record.Withdrawal, _ = table.Withdrawal(c.record.Key)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -41,8 +41,10 @@
 	records []forward.Record
 	// invalid counts the responses that asked for an invalid pause; guarded by mu.
 	invalid int
-	mu      sync.Mutex
-	url     string
+	// peersCurrent is what the forwarder learns of the other instances; guarded by mu.
+	peersCurrent bool
+	mu           sync.Mutex
+	url          string
 }
 
 // tier returns a pointer to a tier.
@@ -109,6 +111,14 @@
 	h.now = h.now.Add(d)
 }
 
+func (h *harness) setPeersCurrent(current bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peersCurrent = current
+}
+
+func (h *harness) arePeersCurrent() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.peersCurrent }
+
 func (h *harness) startCount(customer ident.Customer) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -155,7 +165,7 @@
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		OnInvalidPause: h.recordInvalidPause, Origins: &h.origin,
+		OnInvalidPause: h.recordInvalidPause, Origins: &h.origin, PeersCurrent: h.arePeersCurrent,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
 		Budget:     func(ident.Pool) *retry.Budget { return budget },
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,6 +35,8 @@
 	reason string
 	// retryAfter is the time after which a retry may succeed; 0 leaves Retry-After out.
 	retryAfter time.Duration
+	// closesConnection asks the caller to use another connection, which may lead to another instance.
+	closesConnection bool
 }
 
 // unavailable returns a refusal with status 503, which promises that the request did not run and never will.
@@ -41,6 +44,30 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
 
+// Retry-After of requests that this instance refuses because its configuration is old.
+const (
+	outdatedRetryAfter = time.Second
+	// While other instances are current, callers return to one of them as soon as possible; the spread keeps those that are refused together from
+	// returning together.
+	minElsewhereRetryAfter = 20 * time.Millisecond
+	elsewhereSpread        = 80 * time.Millisecond
+)
+
+// outdated returns the refusal of a request that needs a newer configuration than this instance has. In deployments with load-aware routing, it sends
+// the caller to another instance: a caller stays on its open connection although the load balancer has taken this instance out.
+func (c *call) outdated(reason string) *refusal {
+	refused := unavailable(reason, outdatedRetryAfter)
+	config := c.forwarder.config
+	if !config.Current.Table().HasLoadAware() {
+		return refused
+	}
+	refused.closesConnection = true
+	if config.PeersCurrent() {
+		refused.retryAfter = minElsewhereRetryAfter + rand.N(elsewhereSpread) //nolint:gosec // Only spreads load.
+	}
+	return refused
+}
+
 func deny(status int, reason string) *refusal { return &refusal{status: status, reason: reason} }
 
 // refuse ends the request with an error response, or without one if a response has begun or the caller has disconnected.
@@ -75,6 +102,9 @@
 	if c.record.ID != "" {
 		header.Set(platform.HeaderRequestID, c.record.ID)
 	}
+	if refused.closesConnection {
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := refused.reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -58,6 +58,8 @@
 	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
 	// Origins is about streams and where they began.
 	Origins originMessage `cbor:"12,keyasint"`
+	// ConfigAgeMS is the age of the sender's configuration, at least 1; 0 if it has none.
+	ConfigAgeMS int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -122,6 +124,9 @@
 		if before := g.router.configuration.Version(); g.router.configuration.Expect(clock.Boot(), received.Version) {
 			g.router.journal.Log("configuration_behind", "version", before, "peer", received.Process, "peer_version", received.Version)
 		}
+		if received.ConfigAgeMS > 0 {
+			g.router.peerFreshness.record(clock.Boot(), received.Process, time.Duration(received.ConfigAgeMS)*time.Millisecond)
+		}
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
@@ -219,6 +224,9 @@
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
 		Limits: r.servers.LimitReports(),
 	}
+	if outgoing.Version > 0 {
+		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
+	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -77,6 +77,7 @@
 	// softwareChanged asks for a comparison of the software versions with the store.
 	softwareChanged chan struct{}
 	peerUsage       usageByPeer
+	peerFreshness   peerFreshness
 	reporter        *usage.Reporter
 	// serversRead is the time as of which the known list of servers was current, as a clock.Reading.
 	serversRead atomic.Int64
@@ -223,8 +224,11 @@
 		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"),
-		MaxKeyAge:     func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
-		MaxDenyAge:    func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
+		PeersCurrent: func() bool {
+			return r.peerFreshness.mostlyCurrent(clock.Boot(), fraction(unreadyFraction, r.bounds().Revoke))
+		},
+		MaxKeyAge:  func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
+		MaxDenyAge: func() time.Duration { return fraction(unreadyFraction, r.bounds().Revoke) },
 	})
 }
 
