--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -213,7 +213,7 @@
 	}
 	for index, server := range ready {
 		candidates[index] = placement.Candidate{
-			ID: server.ID, SameDomain: server.Domain == c.forwarder.config.Domain, Slots: server.Slots, KVCapacity: kvCapacity,
+			ID: server.ID, Domain: server.Domain, SameDomain: server.Domain == c.forwarder.config.Domain, Slots: server.Slots, KVCapacity: kvCapacity,
 			StartedUnixMS: server.StartedUnixMS,
 		}
 	}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -20,7 +20,8 @@
 
 // Candidate is a server that accepts new requests.
 type Candidate struct {
-	ID ident.Endpoint
+	ID     ident.Endpoint
+	Domain ident.FailureDomain
 	// SameDomain reports whether the server is in the router instance's own failure domain.
 	SameDomain bool
 	// Slots is the number of requests that the server processes concurrently.
@@ -198,7 +199,12 @@
 		return Choice{}, false
 	}
 	if query.Engine {
-		b.reservation.mark(now, b.eligible, b.speed.latencySensitive(query.MaxPause), &b.speed)
+		arriving := b.speed.latencySensitive(query.MaxPause)
+		if b.settings.LoadAware {
+			b.reservation.markByCapacity(now, b.eligible, arriving, b.settings)
+		} else {
+			b.reservation.mark(now, b.eligible, arriving, &b.speed)
+		}
 		markPreferred(query.Parts, b.eligible)
 		b.cache.markCached(now, query.Parts)
 	}
@@ -217,7 +223,10 @@
 // cheapest returns the eligible server of lowest cost, a random one on ties.
 func (b *Balancer) cheapest(now time.Time, query Query) (*server, float64) {
 	costOf := plainCost
-	if query.Engine {
+	switch {
+	case query.Engine && b.settings.LoadAware:
+		costOf = b.protectedCost(query)
+	case query.Engine:
 		costOf = b.engineCost(query)
 	}
 	var best *server
--- a/internal/request/placement/reservation.go
+++ b/internal/request/placement/reservation.go
@@ -34,6 +34,9 @@
 	// busyFraction is the mean of the engines' backlogs relative to busyBacklog. Each is capped at 1, so that a single
 	// overloaded engine has little effect.
 	busyFraction float64
+	// order and domains are working memory of markByCapacity.
+	order   []*server
+	domains []domainEngines
 }
 
 // mark reserves engines for the latency-sensitive streams in flight and, if arriving is set, for the stream that is being
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -32,6 +32,9 @@
 	gossipIntervalPerPeer = 10 * time.Millisecond
 	// maxGossipInterval bounds the interval to a third of the time for which load reports of peers are used.
 	maxGossipInterval = time.Second
+	// statisticsInterval is the interval between two messages to a peer that hold statistics besides the sender's load. They are several times as large as
+	// the load, and together would fill the links of small VMs with 10 Mbit/s.
+	statisticsInterval = time.Second
 	// maxMessageBytes limits the size of a datagram, since networks handle the fragments of larger ones badly.
 	maxMessageBytes = 32 << 10
 )
@@ -177,6 +180,7 @@
 		return
 	}
 	answer := g.router.message()
+	g.router.addStatistics(&answer)
 	answer.Answer = true
 	g.writeTo(from, g.router.encode(answer))
 }
@@ -206,13 +210,19 @@
 
 // send reports this instance's load to all peers until the context is done.
 func (g *gossip) send(ctx context.Context) {
+	sentStatistics := clock.Boot()
 	for ctx.Err() == nil {
 		peers := g.router.peers.Peers()
-		clock.Sleep(ctx, min(max(minGossipInterval, time.Duration(len(peers))*gossipIntervalPerPeer), maxGossipInterval), nil)
+		interval := min(max(minGossipInterval, time.Duration(len(peers))*gossipIntervalPerPeer), maxGossipInterval)
+		clock.Sleep(ctx, interval, nil)
 		if len(peers) == 0 {
 			continue
 		}
 		update := g.router.message()
+		if now := clock.Boot(); now.Sub(sentStatistics) > statisticsInterval-interval/2 {
+			g.router.addStatistics(&update)
+			sentStatistics = now
+		}
 		update.Losses = g.router.suspects.Recent(time.Now())
 		datagram := g.router.encode(update)
 		for _, peer := range peers {
@@ -226,7 +236,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(), Speeds: r.speedReports(time.Now()),
+		Limits: r.servers.LimitReports(),
 	}
 	if outgoing.Version > 0 {
 		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
@@ -237,6 +247,11 @@
 	return outgoing
 }
 
+// addStatistics adds what this instance has measured over some seconds.
+func (r *Router) addStatistics(outgoing *message) {
+	outgoing.Speeds = r.speedReports(time.Now())
+}
+
 // localLoad returns this instance's load by service. Services without load are included, so that peers drop the load of
 // requests that have ended.
 func (r *Router) localLoad() map[ident.Pool]map[ident.Endpoint]placement.Load {
