Engines of load-aware services are weighed by their own speed, pauses and expected completion

Cause: the reservation counted engines, not what they carry: an engine at 0.6 of the nominal speed with 50 streams had most of the late ones, and responses were started on engines where they could not end in time.

--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -151,6 +151,7 @@
 		return c.candidates(ready, table)
 	})
 	c.excludeServers(ready)
+	c.query.Remaining = c.deadline.Sub(now)
 	choice, found := balancer.Pick(now, c.query)
 	if !found {
 		c.refuse(unavailable(c.noServerReason(ready), c.serversRetryAfter()))
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -79,11 +79,16 @@
 		case !sensitive && candidate.reserved && prefill > longPrompt:
 			cost += reservedCost
 		}
-		return cost + pressure(float64(candidate.load.KVTokens+kvTokens), float64(candidate.KVCapacity), memoryFrom, memoryCost) +
-			pressure(float64(candidate.load.Active), float64(candidate.Slots), slotsFrom, slotsCost)
+		return cost + candidate.utilizationCost(kvTokens)
 	}
 }
 
+// utilizationCost returns the cost of the engine's KV cache and slots for a request that occupies this many tokens at its end.
+func (s *server) utilizationCost(kvTokens ident.Tokens) float64 {
+	return pressure(float64(s.load.KVTokens+kvTokens), float64(s.KVCapacity), memoryFrom, memoryCost) +
+		pressure(float64(s.load.Active), float64(s.Slots), slotsFrom, slotsCost)
+}
+
 // uncachedTokens returns the estimated number of prompt tokens that the engine has to prefill.
 func (s *server) uncachedTokens(query Query, shared ident.Tokens) ident.Tokens {
 	return max(query.Prompt-s.expectedCached(shared), 1)
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -54,6 +54,8 @@
 	Objective time.Duration
 	// MaxPause is the service level objective for the longest pause between events; 0 means none.
 	MaxPause time.Duration
+	// Remaining is the time left for the whole response; 0 means that there is no limit.
+	Remaining time.Duration
 	// Avoid holds the servers that the request was already sent to.
 	Avoid []ident.Endpoint
 	// Exclude holds the servers that must not get the request now for other reasons.
--- a/internal/request/placement/protection.go
+++ b/internal/request/placement/protection.go
@@ -8,6 +8,11 @@
 	// beside it. Work that takes 2.5 times as long as normal makes it late there.
 	paceCost  = 0.6
 	paceLimit = 0.4
+	// completionCost is the cost of an engine where the response is expected to take completionFraction of the time that is left for it.
+	completionCost     = 0.6
+	completionFraction = 0.8
+	// prefillChunk is the number of prompt tokens that an engine with a long backlog prefills in each step, a common default of engines.
+	prefillChunk = 4096
 )
 
 // protectedCost returns the cost function of the engines of a load-aware service for a request. It differs from engineCost in that it uses the speed of
@@ -26,6 +31,8 @@
 	shortestMs, pauseMs := milliseconds(b.settings.ShortestPause), milliseconds(query.MaxPause)
 	longPrompt := b.speed.longPromptLimit()
 	kvTokens := query.Prompt + query.Output
+	output, remainingMs := float64(query.Output), completionFraction*milliseconds(query.Remaining)
+	busyMs := milliseconds(busyBacklog)
 	tokensPerEvent := float64(b.settings.TokensPerEvent)
 	recomputePerToken := (recomputeCost + busyRecomputeCost*b.reservation.busyFraction) / 1000
 	return func(candidate *server) float64 {
@@ -35,7 +42,8 @@
 		prefill := float64(uncached) * msPerToken
 		queued := float64(candidate.load.Prefill.upTo(query.PriorityLevel)) * msPerToken
 		pending := float64(candidate.load.Prefill.Total()) * msPerToken
-		event := tokensPerEvent * (speed.stepMs + speed.stepMsPerRequest*float64(candidate.load.Active+1))
+		step := speed.stepMs + speed.stepMsPerRequest*float64(candidate.load.Active+1)
+		event := tokensPerEvent * step
 		cost := waitingCost((speed.baseMs+queued+prefill)*perObjective) +
 			recomputePerToken*float64(max(uncached-query.Prompt+shared, 0)) + activeCost*float64(candidate.load.Active)
 		if !candidate.SameDomain {
@@ -45,6 +53,10 @@
 		if pauseMs > 0 {
 			cost += pauseCost * stallRisk((event+pending)/(stallFraction*pauseMs))
 		}
+		if remainingMs > 0 {
+			busyStep := step + min(pending/busyMs, 1)*prefillChunk/speed.rate
+			cost += completionCost * stallRisk((speed.baseMs+queued+prefill+output*busyStep)/remainingMs)
+		}
 		switch {
 		case sensitive:
 			cost += paceCost * stallRisk(event/(paceLimit*pauseMs))
@@ -54,7 +66,6 @@
 		case candidate.reserved && prefill > longPrompt:
 			cost += reservedCost
 		}
-		return cost + pressure(float64(candidate.load.KVTokens+kvTokens), float64(candidate.KVCapacity), memoryFrom, memoryCost) +
-			pressure(float64(candidate.load.Active), float64(candidate.Slots), slotsFrom, slotsCost)
+		return cost + candidate.utilizationCost(kvTokens)
 	}
 }
