--- a/internal/request/servermodel/histogram.go
+++ b/internal/request/servermodel/histogram.go
@@ -31,6 +31,9 @@
 	return min(max(int(math.Floor((math.Log2(ratio)+octaves)*binsPerOctave)), 0), binCount-1)
 }
 
+// ratioOf returns the ratio in the middle of a bin.
+func ratioOf(bin int) float64 { return math.Exp2((float64(bin)+0.5)/binsPerOctave - octaves) }
+
 func (h *histogram) add(ratio, weight float64) { h[binOf(ratio)] += float32(weight) }
 
 func (h *histogram) scale(factor float64) {
@@ -111,17 +114,20 @@
 // Encoding of weights as one byte: the logarithm in steps of an eighth of an octave.
 const (
 	weightSteps = 8
-	// minBinWeight is the smallest weight that is encoded.
-	minBinWeight = 1.0 / 64
+	// minBinWeight is the smallest weight that is encoded: a fraction of that of a pause beside a hundred others, which a busy engine has.
+	minWeightLog = 10
+	minBinWeight = 1.0 / (1 << minWeightLog)
 	maxWeightLog = 24
 )
 
 func encodeWeight(weight float32) byte {
-	code := math.Round((math.Log2(float64(weight)) + 6) * weightSteps)
+	code := math.Round((math.Log2(float64(weight)) + minWeightLog) * weightSteps)
 	return byte(min(max(code, 0), maxWeightLog*weightSteps))
 }
 
-func decodeWeight(code byte) float32 { return float32(math.Exp2(float64(code)/weightSteps - 6)) }
+func decodeWeight(code byte) float32 {
+	return float32(math.Exp2(float64(code)/weightSteps - minWeightLog))
+}
 
 // encodeBins returns pairs of bin and weight.
 func encodeBins(list []binWeight) []byte {
--- a/internal/request/servermodel/line.go
+++ b/internal/request/servermodel/line.go
@@ -21,6 +21,10 @@
 	// curveTau is the time constant of the service's curves in seconds. The shape is a property of the engines and the model, so it changes
 	// only with a release.
 	curveTau = 20.0
+	// While the first samples are not older, the time constant is youngTau of their age, and minCurveTau at least: they were normalized by speeds
+	// of servers that were not known yet.
+	youngTau    = 0.5
+	minCurveTau = 0.3
 	// priorWeight is the weight of the prior in a fit, in samples.
 	priorWeight = 0.25
 	// minFixed is the smallest fixed part in milliseconds, and minPerUnit the smallest growth, relative to the prior's.
@@ -35,8 +39,8 @@
 	// firstSize is the size of the first bucket.
 	firstSize float64
 	buckets   [bucketCount]histogram
-	// decayedTo is the time, in seconds, to which the weights are decayed.
-	decayedTo float64
+	// decayedTo is the time, in seconds, to which the weights are decayed, and since that of the first decay.
+	decayedTo, since float64
 	// fitted is the line in use. meanSize is the mean size of recent samples, 0 before the first.
 	fitted   line
 	meanSize float64
@@ -75,7 +79,11 @@
 
 // decay lets the samples' weights decay to a time in seconds.
 func (c *curve) decay(seconds float64) {
-	if factor := math.Exp(-(seconds - c.decayedTo) / curveTau); c.decayedTo != 0 && factor < 1 {
+	if c.since == 0 {
+		c.since, c.decayedTo = seconds, seconds
+	}
+	timeConstant := min(max(youngTau*(seconds-c.since), minCurveTau), curveTau)
+	if factor := math.Exp(-(seconds - c.decayedTo) / timeConstant); factor < 1 {
 		for index := range c.buckets {
 			c.buckets[index].scale(factor)
 		}
--- a/internal/request/servermodel/model.go
+++ b/internal/request/servermodel/model.go
@@ -19,22 +19,31 @@
 const (
 	// lowQuantile is the quantile of durations that counts as that without unknown load: at a busy engine, half of the pauses contain a
 	// chunk of a prompt.
-	lowQuantile = 0.25
+	lowQuantile = 0.17
 	// speedLimit bounds a server's speed relative to the service's, in both directions.
 	speedLimit = 4.0
 	// minTau is the time constant of samples in seconds where there are many: what is older than a second then has little weight. With fewer
 	// than fullWeight samples it grows up to maxTau, so that some remain.
-	minTau     = 0.4
+	minTau     = 0.25
 	maxTau     = 8.0
-	fullWeight = 16.0
+	fullWeight = 4.0
+	// minCurveWeight is the least weight of a first event that counts for the service's line: with too many tokens of others ahead, it may look
+	// too fast.
+	minCurveWeight = 0.9
+	// initialTypical is the assumed mean weight of an instance's samples of a server before there are any.
+	initialTypical = 0.1
+	// maxNormalization bounds the factor by which samples for the service's lines are normalized: the range of speeds of servers in one service.
+	maxNormalization = 2.5
+	// steadyTau is the time constant in seconds of the factors by which samples for the service's lines are normalized.
+	steadyTau = 4.0
 	// serviceWeight is the weight of the service's figures among a server's samples, and stepWeight that of the factor of its decode steps
 	// among the samples of its prefills, which are fewer.
-	serviceWeight = 0.5
-	stepWeight    = 2.0
+	serviceWeight = 0.1
+	stepWeight    = 4.0
 	// refreshInterval bounds how often a server's estimates are computed after samples of this instance, peerRefreshInterval after those of
 	// peers, and fitInterval how often the service's lines are.
 	refreshInterval     = 50 * time.Millisecond
-	peerRefreshInterval = 200 * time.Millisecond
+	peerRefreshInterval = 100 * time.Millisecond
 	fitInterval         = 250 * time.Millisecond
 	// refitThreshold is the relative change of a line from which on it replaces the one in use: half a bin, so that samples relative to the
 	// line can be moved to the new one.
@@ -60,6 +69,8 @@
 	servers map[ident.Endpoint]*Server
 	// peers are those whose last report is in use, sorted by process; at most maxPeers.
 	peers []*peer
+	// typical is the mean weight of an instance's samples of a server.
+	typical [quantities]float64
 	// median is the median of the servers' duration factors; samples for the curves are normalized by it.
 	median [quantities]float64
 	// fittedAt is when the lines were computed, and latest the latest time that the model was given.
@@ -70,7 +81,7 @@
 func New() *Model {
 	m := &Model{servers: make(map[ident.Endpoint]*Server)}
 	m.curves[firstEvent], m.curves[step] = newCurve(priorFirstEvent, firstTokens), newCurve(priorStep, firstRunning)
-	m.median = [quantities]float64{1, 1}
+	m.median, m.typical = [quantities]float64{1, 1}, [quantities]float64{initialTypical, initialTypical}
 	return m
 }
 
@@ -117,18 +128,20 @@
 	c := &m.curves[kind]
 	c.decay(float64(now.UnixMilli()) / 1000)
 	sums := c.buckets
-	own := 0.0
+	weights := []float64{0}
 	for index := range sums {
-		own += sums[index].total()
+		weights[0] += sums[index].total()
 	}
-	weights := []float64{own}
 	live := m.livePeers(now)
 	for _, each := range live {
 		weights = append(weights, each.curveWeights[kind])
 	}
-	limit := weightLimit(weights)
-	for _, each := range live {
-		scale := limitedScale(each.curveWeights[kind], limit)
+	limitPeers(weights, 1)
+	for index, each := range live {
+		if each.curveWeights[kind] == 0 {
+			continue
+		}
+		scale := weights[index+1] / each.curveWeights[kind]
 		for _, sample := range each.curves[kind] {
 			sums[sample.bucket].addSparse([]binWeight{sample.binWeight}, scale, 0)
 		}
@@ -144,6 +157,7 @@
 		m.replaceLine(now, kind, fitted)
 	}
 	m.updateMedian(kind)
+	m.updateTypical(kind)
 }
 
 // replaceLine replaces the line in use. The servers' samples, which are relative to it, are moved so that the estimates stay the same.
@@ -163,12 +177,23 @@
 	}
 }
 
+// updateTypical sets the mean weight of an instance's samples of a server.
+func (m *Model) updateTypical(kind quantity) {
+	total := 0.0
+	for _, server := range m.servers {
+		total += server.estimates[kind].weight
+	}
+	if total > 0 {
+		m.typical[kind] = total / float64(len(m.servers)*(len(m.peers)+1))
+	}
+}
+
 // updateMedian sets the median of the factors of the servers that have samples.
 func (m *Model) updateMedian(kind quantity) {
 	var factors []float64
 	for _, server := range m.servers {
 		if server.estimates[kind].weight >= 1 {
-			factors = append(factors, server.estimates[kind].factor)
+			factors = append(factors, server.estimates[kind].steady)
 		}
 	}
 	if len(factors) > 0 {
--- a/internal/request/servermodel/server.go
+++ b/internal/request/servermodel/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"vanillapond/pkg/ident"
@@ -36,6 +37,8 @@
 	// weight is that of the samples of all instances, and newest the time of the newest one.
 	weight float64
 	newest time.Time
+	// steady is the factor's running mean, by which samples for the service's line are normalized: the factor itself varies too much.
+	steady float64
 }
 
 // Figures are the estimates of a server's speed while its work takes as long as normal, and how long it takes now.
@@ -76,11 +79,12 @@
 func (s *Server) Figures(now time.Time) Figures {
 	prefill, decode := &s.estimates[firstEvent], &s.estimates[step]
 	lines := &s.model.curves
+	prefillFactor, stepFactor := prefill.factor, decode.factor
 	return Figures{
-		Rate:             1 / (lines[firstEvent].fitted.perUnit * prefill.factor),
-		BaseMS:           lines[firstEvent].fitted.fixed * prefill.factor,
-		StepMS:           lines[step].fitted.fixed * decode.factor,
-		StepMSPerRequest: lines[step].fitted.perUnit * decode.factor,
+		Rate:             1 / (lines[firstEvent].fitted.perUnit * prefillFactor),
+		BaseMS:           lines[firstEvent].fitted.fixed * prefillFactor,
+		StepMS:           lines[step].fitted.fixed * stepFactor,
+		StepMSPerRequest: lines[step].fitted.perUnit * stepFactor,
 		Work:             s.work.factor(now),
 		Prefill:          Basis{Weight: prefill.weight, Newest: prefill.newest},
 		Step:             Basis{Weight: decode.weight, Newest: decode.newest},
@@ -101,11 +105,11 @@
 	if sample.Took <= 0 || sample.Tokens < 0 || sample.Ahead < 0 {
 		return
 	}
-	own, all := float64(sample.Tokens), float64(sample.Tokens+sample.Ahead)
+	own, ahead := float64(sample.Tokens), float64(sample.Ahead)
 	curve := &s.model.curves[firstEvent]
-	// The more of the expected time is that of other requests, the less the sample says.
-	weight := curve.fitted.at(own) / curve.fitted.at(all)
-	s.observe(now, firstEvent, all, milliseconds(sample.Took), weight)
+	// The more of the expected time is that of other requests, the less the sample says. On the mean, half of their tokens were still ahead.
+	weight := curve.fitted.at(own) / curve.fitted.at(own+ahead)
+	s.observe(now, firstEvent, own+ahead/2, milliseconds(sample.Took), weight)
 }
 
 // Pause is a sample: the time between events of a stream.
@@ -121,7 +125,9 @@
 	if sample.Took <= 0 || sample.Tokens <= 0 {
 		return
 	}
-	s.observe(now, step, float64(max(sample.Running, 1)), milliseconds(sample.Took)/float64(sample.Tokens), 1)
+	running := float64(max(sample.Running, 1))
+	// All running streams see the same steps, so their samples together count as one.
+	s.observe(now, step, running, milliseconds(sample.Took)/float64(sample.Tokens), 1/running)
 }
 
 func (s *Server) observe(now time.Time, kind quantity, size, duration, weight float64) {
@@ -131,17 +137,26 @@
 		s.notice(WorkContradicted)
 	}
 	work := s.work.factor(now)
+	forCurve := kind == step || weight >= minCurveWeight
 	weight *= s.work.weight()
 	s.decay(now, kind)
-	own.bins.add(relative/work, weight)
+	ratio := relative / work
+	if s.work.notable() && work > s.work.usualFactor() {
+		// The long work may have ended since the figure was given, so the sample shows no higher speed.
+		ratio = max(ratio, s.estimates[kind].factor)
+	}
+	own.bins.add(ratio, weight)
 	own.newest = now
 	if own.meanSize == 0 {
 		own.meanSize = size
 	}
 	const meanWeight = 0.1
 	own.meanSize += meanWeight * (size - own.meanSize)
-	normalized := duration / work * s.model.median[kind] / s.estimates[kind].factor
-	curve.add(size, normalized, weight)
+	normalization := min(max(s.model.median[kind]/s.estimates[kind].steady, 1/maxNormalization), maxNormalization)
+	normalized := ratio * curve.fitted.at(size) * normalization
+	if forCurve {
+		curve.add(size, normalized, weight)
+	}
 	s.model.refit(now)
 	if now.Sub(s.refreshedAt) >= refreshInterval {
 		s.refresh(now)
@@ -167,10 +182,12 @@
 // refresh computes the estimates from the samples of all instances. Pick reads only its results, so that its time does not depend on the number
 // of peers.
 func (s *Server) refresh(now time.Time) {
+	elapsed := now.Sub(s.refreshedAt).Seconds()
 	s.refreshedAt = now
 	live := s.model.livePeers(now)
-	decoded := s.estimate(now, step, live, 1, serviceWeight)
-	prior, priorWeight := 1.0, serviceWeight
+	s.poolEvidence(live)
+	decoded := s.estimate(now, step, live, s.peersFactor(step, live), serviceWeight)
+	prior, priorWeight := s.peersFactor(firstEvent, live), serviceWeight
 	if decoded.weight >= 1 {
 		prior, priorWeight = decoded.factor, stepWeight
 	}
@@ -178,33 +195,71 @@
 	if decoded.weight < serviceWeight && prefilled.weight >= 1 {
 		decoded.factor = prefilled.factor
 	}
-	s.estimates[step], s.estimates[firstEvent] = decoded, prefilled
+	for kind, next := range [quantities]estimate{prefilled, decoded} {
+		last := &s.estimates[kind]
+		next.steady = next.factor
+		if last.weight >= 1 {
+			next.steady = last.steady * math.Pow(next.factor/last.steady, 1-math.Exp(-max(elapsed, 0)/steadyTau))
+		}
+		*last = next
+	}
+}
+
+// peersFactor returns the median of the peers' estimates of one duration, 1 without any. It is the prior, by which an instance that has few samples
+// from its peers yet, too, uses what they have from all instances.
+func (s *Server) peersFactor(kind quantity, live []*peer) float64 {
+	var factors []float64
+	for _, each := range live {
+		if reported := each.servers[s.id]; reported != nil && reported.startedUnixMS == s.startedUnixMS && reported.factors[kind] > 0 {
+			factors = append(factors, reported.factors[kind])
+		}
+	}
+	if len(factors) == 0 {
+		return 1
+	}
+	slices.Sort(factors)
+	return factors[len(factors)/2]
 }
 
-// estimate returns the estimate of one duration; the prior counts like a sample of its weight.
+// poolEvidence sums the peers' evidence on the server's work figures. A peer alone cannot make them distrusted.
+func (s *Server) poolEvidence(live []*peer) {
+	s.work.peersAgreeing, s.work.peersContradicting = 0, 0
+	for _, each := range live {
+		if reported := each.servers[s.id]; reported != nil && reported.startedUnixMS == s.startedUnixMS {
+			s.work.peersAgreeing += min(reported.agreeing, minEvidence/2)
+			s.work.peersContradicting += min(reported.contradicting, minEvidence/2)
+		}
+	}
+	if s.work.judge() {
+		s.notice(WorkContradicted)
+	}
+}
+
+// estimate returns the estimate of one duration; the prior counts like a sample of its weight, and of weight 1 where there are fewer.
 func (s *Server) estimate(now time.Time, kind quantity, live []*peer, prior, priorWeight float64) estimate {
 	s.decay(now, kind)
 	own := &s.samples[kind]
 	sum := own.bins
 	result := estimate{newest: own.newest}
 	ownWeight := own.bins.total()
-	known := make([]*peerServer, 0, len(live))
-	weights := append(make([]float64, 0, len(live)+1), ownWeight)
-	scales := make([]float64, 0, len(live))
+	known := make([]*peerServer, len(live))
+	weights := make([]float64, len(live)+1)
+	weights[0] = ownWeight
 	timeConstant := tau(s.estimates[kind].weight)
-	for _, each := range live {
+	for index, each := range live {
 		reported := each.servers[s.id]
-		if reported == nil || reported.startedUnixMS != s.startedUnixMS || len(reported.samples[kind]) == 0 {
+		if reported == nil || reported.startedUnixMS != s.startedUnixMS || reported.weights[kind] == 0 {
 			continue
 		}
-		scale := math.Exp(-max(now.Sub(each.at).Seconds(), 0) / timeConstant)
-		known, scales = append(known, reported), append(scales, scale)
-		weights = append(weights, scale*reported.weights[kind])
+		known[index] = reported
+		weights[index+1] = reported.weights[kind] * math.Exp(-max(now.Sub(each.at).Seconds(), 0)/timeConstant)
 	}
-	limit := weightLimit(weights)
+	limitPeers(weights, s.model.typical[kind])
 	for index, reported := range known {
-		scale := scales[index] * limitedScale(weights[index+1], limit)
-		sum.addSparse(reported.samples[kind], scale, reported.shifts[kind])
+		if reported == nil {
+			continue
+		}
+		sum.addSparse(reported.samples[kind], weights[index+1]/reported.weights[kind], reported.shifts[kind])
 		if reported.newest[kind].After(result.newest) {
 			result.newest = reported.newest[kind]
 		}
@@ -213,7 +268,7 @@
 		result.factor = prior
 		return result
 	}
-	sum.add(prior, priorWeight)
+	sum.add(prior, max(priorWeight, 1-result.weight))
 	result.factor = min(max(sum.quantile(lowQuantile), 1/speedLimit), speedLimit)
 	return result
 }
--- a/internal/request/servermodel/share.go
+++ b/internal/request/servermodel/share.go
@@ -22,7 +22,7 @@
 	maxPeers = 64
 	// peerTTL is how long a report is used, as for the load that peers report.
 	peerTTL = 3 * time.Second
-	// peerWeight is the weight of one peer at most, in typical instances, because its report may be false.
+	// peerWeight is the weight of one peer at most, in mean instances, because its report may be false.
 	peerWeight = 3.0
 	// maxReportedMS bounds the durations in a report.
 	maxReportedMS = 60_000.0
@@ -40,6 +40,10 @@
 	// WorkPercent is the last work figure in a response to this instance, 0 without a recent one, and WorkAgeMS its age.
 	WorkPercent int64 `cbor:"6,keyasint,omitempty"`
 	WorkAgeMS   int64 `cbor:"7,keyasint,omitempty"`
+	// Factors are the sender's estimates of the two durations relative to the service's, from the samples of all instances: two bins, or none.
+	Factors []byte `cbor:"8,keyasint,omitempty"`
+	// Evidence holds the weights of the sender's samples that agreed with the work figures and that contradicted them, or nothing.
+	Evidence []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // CurveReport holds an instance's samples of the service's durations.
@@ -88,6 +92,12 @@
 			}
 		}
 	}
+	if len(s.Factors) != 0 && (len(s.Factors) != int(quantities) || slices.Max(s.Factors) >= binCount) {
+		return oops.Errorf("found factors %v, want %d below %d", s.Factors, quantities, binCount)
+	}
+	if len(s.Evidence) != 0 && (len(s.Evidence) != 2 || slices.Max(s.Evidence) > maxWeightLog*weightSteps) {
+		return oops.Errorf("found evidence %v, want two weights of at most %d", s.Evidence, maxWeightLog*weightSteps)
+	}
 	if s.WorkPercent < 0 || s.WorkPercent > normalWork*workLimit {
 		return oops.Errorf("found a work figure of %d, want 0 to %g", s.WorkPercent, normalWork*workLimit)
 	}
@@ -163,6 +173,12 @@
 	report.Steps = encodeBins(s.samples[step].bins.sparse(maxReportedBins))
 	report.FirstEventAgeMS = reportedAge(now, s.samples[firstEvent].newest)
 	report.StepAgeMS = reportedAge(now, s.samples[step].newest)
+	if s.estimates[firstEvent].weight >= 1 && s.estimates[step].weight >= 1 {
+		report.Factors = []byte{byte(binOf(s.estimates[firstEvent].factor)), byte(binOf(s.estimates[step].factor))}
+	}
+	if s.work.agreeing+s.work.contradicting >= 1 {
+		report.Evidence = []byte{encodeWeight(float32(s.work.agreeing)), encodeWeight(float32(s.work.contradicting))}
+	}
 	if s.work.own && !s.work.distrusted && now.Sub(s.work.at) <= workLifetime {
 		report.WorkPercent, report.WorkAgeMS = int64(math.Round(s.work.percent)), reportedAge(now, s.work.at)
 	}
@@ -216,6 +232,9 @@
 	samples       [quantities][]binWeight
 	weights       [quantities]float64
 	newest        [quantities]time.Time
+	// factors are the peer's estimates, 0 without any, and agreeing and contradicting its evidence on the work figures.
+	factors                 [quantities]float64
+	agreeing, contradicting float64
 	// shifts move the peer's bins to those of the line in use here.
 	shifts [quantities]int
 }
@@ -268,6 +287,14 @@
 			known.weights[kind] = weightOf(known.samples[kind])
 			known.newest[kind] = now.Add(-time.Duration(ages[kind]) * time.Millisecond)
 		}
+		if len(server.Factors) > 0 {
+			for kind := range known.factors {
+				known.factors[kind] = ratioOf(int(server.Factors[kind]) + shifts[kind])
+			}
+		}
+		if len(server.Evidence) > 0 {
+			known.agreeing, known.contradicting = float64(decodeWeight(server.Evidence[0])), float64(decodeWeight(server.Evidence[1]))
+		}
 		p.servers[id] = known
 	}
 	return p
@@ -285,20 +312,17 @@
 	return m.peers
 }
 
-// weightLimit returns the largest weight of one peer: peerWeight times the median of the instances that have samples.
-func weightLimit(weights []float64) float64 {
-	positive := slices.DeleteFunc(slices.Clone(weights), func(weight float64) bool { return weight < minBinWeight })
-	if len(positive) < 2 {
-		return math.Inf(1)
+// limitPeers reduces the weights of peers, all but the first of weights, to peerWeight times the mean of the other instances, or to typical where that
+// is larger: a server may have samples from one instance alone.
+func limitPeers(weights []float64, typical float64) {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
 	}
-	slices.Sort(positive)
-	return peerWeight * positive[(len(positive)-1)/2]
-}
-
-// limitedScale returns the factor by which a weight is reduced to a limit.
-func limitedScale(weight, limit float64) float64 {
-	if weight <= limit {
-		return 1
+	others := float64(len(weights) - 1)
+	for index := 1; index < len(weights); index++ {
+		limit := max(peerWeight*(total-weights[index])/others, typical)
+		total -= max(weights[index]-limit, 0)
+		weights[index] = min(weights[index], limit)
 	}
-	return limit / weight
 }
--- a/internal/request/servermodel/stream.go
+++ b/internal/request/servermodel/stream.go
@@ -4,9 +4,11 @@
 
 const (
 	// shortPause is the fraction of the expected pause below which an event follows one that was delivered late, as when the router had no
-	// processor time; both pauses are then taken together. maxJoined bounds their number, so that a server that became faster is noticed.
+	// processor time; both pauses are then taken together, but no more, so that a server that became faster is noticed.
 	shortPause = 0.6
-	maxJoined  = 4
+	// joinedPause is the fraction below which events were delivered together, at most maxJoined of them.
+	joinedPause = 0.1
+	maxJoined   = 8
 )
 
 // Stream turns the times of a stream's events into samples. The first pause is left out, because the first event may have fewer tokens, and so
@@ -27,7 +29,8 @@
 func (s *Stream) Next(now time.Time, expected time.Duration) (time.Duration, bool) {
 	pause := now.Sub(s.lastAt)
 	s.lastAt = now
-	if s.heldEvents > 0 && s.heldEvents < maxJoined && float64(pause) < shortPause*float64(expected) {
+	fraction := float64(pause) / float64(max(expected, 1))
+	if s.heldEvents == 1 && fraction < shortPause || s.heldEvents > 0 && s.heldEvents < maxJoined && fraction < joinedPause {
 		s.held += pause
 		s.heldEvents++
 		return 0, false
--- a/internal/request/servermodel/work.go
+++ b/internal/request/servermodel/work.go
@@ -18,8 +18,8 @@
 	notableWork = 1.3
 	// distrustFraction is the fraction of samples that contradict a server's figures from which on they are ignored, and trustFraction
 	// that below which they are used again. minEvidence is the least weight of samples for either.
-	distrustFraction = 0.3
-	trustFraction    = 0.15
+	distrustFraction = 0.4
+	trustFraction    = 0.25
 	minEvidence      = 8.0
 	// evidenceDecay is applied to older evidence with each sample.
 	evidenceDecay = 0.98
@@ -38,6 +38,8 @@
 	own bool
 	// agreeing and contradicting are decayed weights of samples that were taken while the figure was notable.
 	agreeing, contradicting float64
+	// peersAgreeing and peersContradicting are the same of the peers.
+	peersAgreeing, peersContradicting float64
 	// distrusted is set while the figures contradict the responses; they are ignored then.
 	distrusted bool
 }
@@ -81,10 +83,15 @@
 	return w.usual / normalWork
 }
 
+// notable reports whether the last figure differs from the usual one.
+func (w *workFigure) notable() bool {
+	return w.percent != 0 && !w.distrusted && math.Abs(math.Log(w.percent/w.usual)) > math.Log(notableWork)
+}
+
 // weight returns the weight of a sample taken now: less if work takes unusually long, because that may have begun or ended meanwhile.
 func (w *workFigure) weight() float64 {
 	const uncertain = 0.25
-	if w.percent != 0 && !w.distrusted && math.Abs(math.Log(w.percent/w.usual)) > math.Log(notableWork) {
+	if w.notable() {
 		return uncertain
 	}
 	return 1
@@ -111,11 +118,17 @@
 	default:
 		w.agreeing++
 	}
-	sum := w.agreeing + w.contradicting
+	return w.judge()
+}
+
+// judge decides by the evidence of all instances whether the figures are used. It reports whether they no longer are.
+func (w *workFigure) judge() bool {
+	contradicting := w.contradicting + w.peersContradicting
+	sum := w.agreeing + w.peersAgreeing + contradicting
 	if sum < minEvidence {
 		return false
 	}
-	switch fraction := w.contradicting / sum; {
+	switch fraction := contradicting / sum; {
 	case !w.distrusted && fraction > distrustFraction:
 		w.distrusted = true
 		return true
