--- a/internal/request/placement/figures.go
+++ b/internal/request/placement/figures.go
@@ -24,7 +24,7 @@
 	}
 	known := b.model.Service()
 	if s.speed != nil {
-		known = s.speed.Figures(now)
+		known = s.speed.Speed(now)
 	}
 	return figures{
 		rate: known.Rate / known.Work, baseMs: known.BaseMS * known.Work,
--- a/internal/request/servermodel/histogram.go
+++ b/internal/request/servermodel/histogram.go
@@ -24,11 +24,11 @@
 }
 
 // binOf returns the bin of a ratio; those outside the range count in the first or last bin.
-func binOf(ratio float64) int {
+func binOf(ratio float64) uint8 {
 	if !(ratio > 0) {
 		return 0
 	}
-	return min(max(int(math.Floor((math.Log2(ratio)+octaves)*binsPerOctave)), 0), binCount-1)
+	return uint8(min(max(math.Floor((math.Log2(ratio)+octaves)*binsPerOctave), 0), binCount-1))
 }
 
 // ratioOf returns the ratio in the middle of a bin.
@@ -125,9 +125,15 @@
 	return byte(min(max(code, 0), maxWeightLog*weightSteps))
 }
 
-func decodeWeight(code byte) float32 {
-	return float32(math.Exp2(float64(code)/weightSteps - minWeightLog))
-}
+func decodeWeight(code byte) float32 { return decodedWeights[code] }
+
+// decodedWeights holds the weights by code: decoding a report takes thousands of them.
+var decodedWeights = func() (weights [256]float32) {
+	for code := range weights {
+		weights[code] = float32(math.Exp2(float64(code)/weightSteps - minWeightLog))
+	}
+	return weights
+}()
 
 // encodeBins returns pairs of bin and weight.
 func encodeBins(list []binWeight) []byte {
--- a/internal/request/servermodel/line.go
+++ b/internal/request/servermodel/line.go
@@ -36,6 +36,8 @@
 // instances, so that they can be added.
 type curve struct {
 	prior line
+	// quantile is the quantile of durations that counts as that without unknown load.
+	quantile float64
 	// firstSize is the size of the first bucket.
 	firstSize float64
 	buckets   [bucketCount]histogram
@@ -46,8 +48,8 @@
 	meanSize float64
 }
 
-func newCurve(prior line, firstSize float64) curve {
-	return curve{prior: prior, firstSize: firstSize, fitted: prior}
+func newCurve(prior line, quantile, firstSize float64) curve {
+	return curve{prior: prior, quantile: quantile, firstSize: firstSize, fitted: prior}
 }
 
 func (c *curve) bucketOf(size float64) int {
@@ -103,7 +105,7 @@
 			continue
 		}
 		size := c.sizeOf(index)
-		duration := c.prior.at(size) * buckets[index].quantile(lowQuantile)
+		duration := c.prior.at(size) * buckets[index].quantile(c.quantile)
 		u, v := 1/duration, size/duration
 		a11, a12, a22 = a11+weight*u*u, a12+weight*u*v, a22+weight*v*v
 		b1, b2, total = b1+weight*u, b2+weight*v, total+weight
--- a/internal/request/servermodel/model.go
+++ b/internal/request/servermodel/model.go
@@ -19,14 +19,16 @@
 const (
 	// lowQuantile is the quantile of durations that counts as that without unknown load: at a busy engine, half of the pauses contain a
 	// chunk of a prompt.
-	lowQuantile = 0.17
+	lowQuantile = 0.2
+	// firstEventQuantile is that of the service's times to first event. It is lower, because there are more samples than of a server.
+	firstEventQuantile = 0.12
 	// speedLimit bounds a server's speed relative to the service's, in both directions.
 	speedLimit = 4.0
 	// minTau is the time constant of samples in seconds where there are many: what is older than a second then has little weight. With fewer
 	// than fullWeight samples it grows up to maxTau, so that some remain.
-	minTau     = 0.25
+	minTau     = 0.2
 	maxTau     = 8.0
-	fullWeight = 4.0
+	fullWeight = 3.0
 	// minCurveWeight is the least weight of a first event that counts for the service's line: with too many tokens of others ahead, it may look
 	// too fast.
 	minCurveWeight = 0.9
@@ -73,6 +75,9 @@
 	typical [quantities]float64
 	// median is the median of the servers' duration factors; samples for the curves are normalized by it.
 	median [quantities]float64
+	// reports and numbers are memory that is reused.
+	reports []*peerServer
+	numbers []float64
 	// fittedAt is when the lines were computed, and latest the latest time that the model was given.
 	fittedAt, latest time.Time
 }
@@ -80,7 +85,7 @@
 // New returns a model without samples.
 func New() *Model {
 	m := &Model{servers: make(map[ident.Endpoint]*Server)}
-	m.curves[firstEvent], m.curves[step] = newCurve(priorFirstEvent, firstTokens), newCurve(priorStep, firstRunning)
+	m.curves[firstEvent], m.curves[step] = newCurve(priorFirstEvent, firstEventQuantile, firstTokens), newCurve(priorStep, lowQuantile, firstRunning)
 	m.median, m.typical = [quantities]float64{1, 1}, [quantities]float64{initialTypical, initialTypical}
 	return m
 }
@@ -104,10 +109,10 @@
 // Forget removes a server that no longer belongs to the service.
 func (m *Model) Forget(id ident.Endpoint) { delete(m.servers, id) }
 
-// Service returns the figures of a server without samples.
-func (m *Model) Service() Figures {
+// Service returns the speed of a server without samples.
+func (m *Model) Service() Speed {
 	prefill, decode := m.curves[firstEvent].fitted, m.curves[step].fitted
-	return Figures{
+	return Speed{
 		Rate: 1 / prefill.perUnit, BaseMS: prefill.fixed, StepMS: decode.fixed, StepMSPerRequest: decode.perUnit, Work: 1,
 	}
 }
@@ -136,7 +141,7 @@
 	for _, each := range live {
 		weights = append(weights, each.curveWeights[kind])
 	}
-	limitPeers(weights, 1)
+	limitPeers(weights, len(live), 1)
 	for index, each := range live {
 		if each.curveWeights[kind] == 0 {
 			continue
--- a/internal/request/servermodel/server.go
+++ b/internal/request/servermodel/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"vanillapond/pkg/ident"
@@ -31,18 +30,8 @@
 	meanSize float64
 }
 
-// estimate is a server's duration relative to the service's line.
-type estimate struct {
-	factor float64
-	// weight is that of the samples of all instances, and newest the time of the newest one.
-	weight float64
-	newest time.Time
-	// steady is the factor's running mean, by which samples for the service's line are normalized: the factor itself varies too much.
-	steady float64
-}
-
-// Figures are the estimates of a server's speed while its work takes as long as normal, and how long it takes now.
-type Figures struct {
+// Speed is the estimated speed of a server while its work takes as long as normal, and how long it takes now.
+type Speed struct {
 	// Rate is the prefill rate in tokens per millisecond, BaseMS the time to the first event without prefill.
 	Rate   float64
 	BaseMS float64
@@ -50,6 +39,11 @@
 	StepMS, StepMSPerRequest float64
 	// Work is how many times as long as normal work takes now; all durations are to be multiplied by it.
 	Work float64
+}
+
+// Figures are the estimated speed of a server with the evidence.
+type Figures struct {
+	Speed
 	// Prefill, Step and WorkFigure say on what the figures rest.
 	Prefill, Step, WorkFigure Basis
 }
@@ -71,24 +65,30 @@
 }
 
 // StepDuration returns the duration of a decode step with this number of running requests, at the current work figure.
-func (f *Figures) StepDuration(running int) time.Duration {
+func (f *Speed) StepDuration(running int) time.Duration {
 	return time.Duration((f.StepMS + f.StepMSPerRequest*float64(running)) * f.Work * float64(time.Millisecond))
 }
 
 // Figures returns the estimates for a server.
 func (s *Server) Figures(now time.Time) Figures {
 	prefill, decode := &s.estimates[firstEvent], &s.estimates[step]
-	lines := &s.model.curves
-	prefillFactor, stepFactor := prefill.factor, decode.factor
+	speed := s.Speed(now)
 	return Figures{
-		Rate:             1 / (lines[firstEvent].fitted.perUnit * prefillFactor),
-		BaseMS:           lines[firstEvent].fitted.fixed * prefillFactor,
-		StepMS:           lines[step].fitted.fixed * stepFactor,
-		StepMSPerRequest: lines[step].fitted.perUnit * stepFactor,
-		Work:             s.work.factor(now),
-		Prefill:          Basis{Weight: prefill.weight, Newest: prefill.newest},
-		Step:             Basis{Weight: decode.weight, Newest: decode.newest},
-		WorkFigure:       Basis{Weight: min(s.work.percent, 1), Newest: s.work.at},
+		Speed:      speed,
+		Prefill:    Basis{Weight: prefill.weight, Newest: prefill.newest},
+		Step:       Basis{Weight: decode.weight, Newest: decode.newest},
+		WorkFigure: Basis{Weight: min(s.work.percent, 1), Newest: s.work.at},
+	}
+}
+
+// Speed returns the estimates without what they rest on.
+func (s *Server) Speed(now time.Time) Speed {
+	prefill, decode := s.estimates[firstEvent].factor, s.estimates[step].factor
+	lines := &s.model.curves
+	return Speed{
+		Rate: 1 / (lines[firstEvent].fitted.perUnit * prefill), BaseMS: lines[firstEvent].fitted.fixed * prefill,
+		StepMS: lines[step].fitted.fixed * decode, StepMSPerRequest: lines[step].fitted.perUnit * decode,
+		Work: s.work.factor(now),
 	}
 }
 
@@ -179,98 +179,4 @@
 	}
 }
 
-// refresh computes the estimates from the samples of all instances. Pick reads only its results, so that its time does not depend on the number
-// of peers.
-func (s *Server) refresh(now time.Time) {
-	elapsed := now.Sub(s.refreshedAt).Seconds()
-	s.refreshedAt = now
-	live := s.model.livePeers(now)
-	s.poolEvidence(live)
-	decoded := s.estimate(now, step, live, s.peersFactor(step, live), serviceWeight)
-	prior, priorWeight := s.peersFactor(firstEvent, live), serviceWeight
-	if decoded.weight >= 1 {
-		prior, priorWeight = decoded.factor, stepWeight
-	}
-	prefilled := s.estimate(now, firstEvent, live, prior, priorWeight)
-	if decoded.weight < serviceWeight && prefilled.weight >= 1 {
-		decoded.factor = prefilled.factor
-	}
-	for kind, next := range [quantities]estimate{prefilled, decoded} {
-		last := &s.estimates[kind]
-		next.steady = next.factor
-		if last.weight >= 1 {
-			next.steady = last.steady * math.Pow(next.factor/last.steady, 1-math.Exp(-max(elapsed, 0)/steadyTau))
-		}
-		*last = next
-	}
-}
-
-// peersFactor returns the median of the peers' estimates of one duration, 1 without any. It is the prior, by which an instance that has few samples
-// from its peers yet, too, uses what they have from all instances.
-func (s *Server) peersFactor(kind quantity, live []*peer) float64 {
-	var factors []float64
-	for _, each := range live {
-		if reported := each.servers[s.id]; reported != nil && reported.startedUnixMS == s.startedUnixMS && reported.factors[kind] > 0 {
-			factors = append(factors, reported.factors[kind])
-		}
-	}
-	if len(factors) == 0 {
-		return 1
-	}
-	slices.Sort(factors)
-	return factors[len(factors)/2]
-}
-
-// poolEvidence sums the peers' evidence on the server's work figures. A peer alone cannot make them distrusted.
-func (s *Server) poolEvidence(live []*peer) {
-	s.work.peersAgreeing, s.work.peersContradicting = 0, 0
-	for _, each := range live {
-		if reported := each.servers[s.id]; reported != nil && reported.startedUnixMS == s.startedUnixMS {
-			s.work.peersAgreeing += min(reported.agreeing, minEvidence/2)
-			s.work.peersContradicting += min(reported.contradicting, minEvidence/2)
-		}
-	}
-	if s.work.judge() {
-		s.notice(WorkContradicted)
-	}
-}
-
-// estimate returns the estimate of one duration; the prior counts like a sample of its weight, and of weight 1 where there are fewer.
-func (s *Server) estimate(now time.Time, kind quantity, live []*peer, prior, priorWeight float64) estimate {
-	s.decay(now, kind)
-	own := &s.samples[kind]
-	sum := own.bins
-	result := estimate{newest: own.newest}
-	ownWeight := own.bins.total()
-	known := make([]*peerServer, len(live))
-	weights := make([]float64, len(live)+1)
-	weights[0] = ownWeight
-	timeConstant := tau(s.estimates[kind].weight)
-	for index, each := range live {
-		reported := each.servers[s.id]
-		if reported == nil || reported.startedUnixMS != s.startedUnixMS || reported.weights[kind] == 0 {
-			continue
-		}
-		known[index] = reported
-		weights[index+1] = reported.weights[kind] * math.Exp(-max(now.Sub(each.at).Seconds(), 0)/timeConstant)
-	}
-	limitPeers(weights, s.model.typical[kind])
-	for index, reported := range known {
-		if reported == nil {
-			continue
-		}
-		sum.addSparse(reported.samples[kind], weights[index+1]/reported.weights[kind], reported.shifts[kind])
-		if reported.newest[kind].After(result.newest) {
-			result.newest = reported.newest[kind]
-		}
-	}
-	if result.weight = sum.total(); result.weight < minBinWeight {
-		result.factor = prior
-		return result
-	}
-	sum.add(prior, max(priorWeight, 1-result.weight))
-	result.factor = min(max(sum.quantile(lowQuantile), 1/speedLimit), speedLimit)
-	return result
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/request/servermodel/share.go
+++ b/internal/request/servermodel/share.go
@@ -174,7 +174,7 @@
 	report.FirstEventAgeMS = reportedAge(now, s.samples[firstEvent].newest)
 	report.StepAgeMS = reportedAge(now, s.samples[step].newest)
 	if s.estimates[firstEvent].weight >= 1 && s.estimates[step].weight >= 1 {
-		report.Factors = []byte{byte(binOf(s.estimates[firstEvent].factor)), byte(binOf(s.estimates[step].factor))}
+		report.Factors = []byte{binOf(s.estimates[firstEvent].factor), binOf(s.estimates[step].factor)}
 	}
 	if s.work.agreeing+s.work.contradicting >= 1 {
 		report.Evidence = []byte{encodeWeight(float32(s.work.agreeing)), encodeWeight(float32(s.work.contradicting))}
@@ -193,20 +193,16 @@
 }
 
 func (c *curve) report() CurveReport {
-	type sample struct {
-		bucket int
-		binWeight
-	}
-	var list []sample
+	var list []curveSample
 	for index := range c.buckets {
 		for _, each := range c.buckets[index].sparse(binCount) {
-			list = append(list, sample{index, each})
+			list = append(list, curveSample{uint8(index), each})
 		}
 	}
-	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortFunc(list, func(a, b curveSample) int { return cmp.Compare(b.weight, a.weight) })
 	report := CurveReport{FixedMS: c.fitted.fixed, PerUnitMS: c.fitted.perUnit}
 	for _, each := range list[:min(len(list), maxCurveBins)] {
-		report.Samples = append(report.Samples, byte(each.bucket), each.bin, encodeWeight(each.weight))
+		report.Samples = append(report.Samples, each.bucket, each.bin, encodeWeight(each.weight))
 	}
 	return report
 }
@@ -228,6 +224,8 @@
 
 // peerServer is what a peer has measured of one server.
 type peerServer struct {
+	// at is when the report arrived.
+	at            time.Time
 	startedUnixMS int64
 	samples       [quantities][]binWeight
 	weights       [quantities]float64
@@ -280,7 +278,7 @@
 		}
 	}
 	for id, server := range report.Servers {
-		known := &peerServer{startedUnixMS: server.StartedUnixMS, shifts: shifts}
+		known := &peerServer{at: now, startedUnixMS: server.StartedUnixMS, shifts: shifts}
 		ages := [quantities]int64{server.FirstEventAgeMS, server.StepAgeMS}
 		for kind, bins := range [quantities][]byte{server.FirstEvents, server.Steps} {
 			known.samples[kind] = decodeBins(bins)
@@ -313,15 +311,14 @@
 }
 
 // limitPeers reduces the weights of peers, all but the first of weights, to peerWeight times the mean of the other instances, or to typical where that
-// is larger: a server may have samples from one instance alone.
-func limitPeers(weights []float64, typical float64) {
+// is larger: a server may have samples from one instance alone. peers is the number of all peers, also those without samples.
+func limitPeers(weights []float64, peers int, typical float64) {
 	total := 0.0
 	for _, weight := range weights {
 		total += weight
 	}
-	others := float64(len(weights) - 1)
 	for index := 1; index < len(weights); index++ {
-		limit := max(peerWeight*(total-weights[index])/others, typical)
+		limit := max(peerWeight*(total-weights[index])/float64(peers), typical)
 		total -= max(weights[index]-limit, 0)
 		weights[index] = min(weights[index], limit)
 	}
