Server model: test that responses and load headers reach it

Cause: the way from a response to the model was tested in parts only. Change: a test with a server behind the forwarder: events, work figure, unreadable headers (one log line), restart. A peer's report also sets the service's rate that the reservation of engines uses.

--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -20,6 +20,7 @@
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
+	"vanillapond/internal/request/servermodel"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -41,8 +42,13 @@
 	records []forward.Record
 	// invalid counts the responses that asked for an invalid pause; guarded by mu.
 	invalid int
-	mu      sync.Mutex
-	url     string
+	// balancer is that of all services.
+	balancer *placement.Balancer
+	// findings counts the false load headers, and invalidLoads the errors of unreadable ones; guarded by mu.
+	findings     map[servermodel.Finding]int
+	invalidLoads int
+	mu           sync.Mutex
+	url          string
 }
 
 // tier returns a pointer to a tier.
@@ -151,11 +157,12 @@
 	}
 	h.servers.Update(h.registered, nil, true)
 	balancer, controller := placement.New(1), &admission.Controller{}
+	h.balancer, h.findings = balancer, make(map[servermodel.Finding]int)
 	budget := retry.New(retry.Config{Ratio: 0, Extra: extra, Window: 10 * time.Second, Instances: func() int { return 0 }})
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		OnInvalidPause: h.recordInvalidPause, Origins: &h.origin,
+		OnInvalidPause: h.recordInvalidPause, OnInvalidLoad: h.recordInvalidLoad, OnFalseLoad: h.recordFalseLoad, Origins: &h.origin,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
 		Budget:     func(ident.Pool) *retry.Budget { return budget },
--- a/internal/request/placement/figures.go
+++ b/internal/request/placement/figures.go
@@ -103,6 +103,9 @@
 		b.model = servermodel.New()
 	}
 	b.model.Merge(now, from, report)
+	if b.usesModel() {
+		b.speed.rate = b.model.Service().Rate
+	}
 }
 
 // running estimates how many requests run at the server.
