--- a/internal/request/placement/figures.go
+++ b/internal/request/placement/figures.go
@@ -24,7 +24,7 @@
 	}
 	known := b.model.Service()
 	if s.speed != nil {
-		known = s.speed.Figures(now)
+		known = s.speed.Speed(now)
 	}
 	return figures{
 		rate: known.Rate / known.Work, baseMs: known.BaseMS * known.Work,
@@ -103,6 +103,9 @@
 		b.model = servermodel.New()
 	}
 	b.model.Merge(now, from, report)
+	if b.usesModel() {
+		b.speed.rate = b.model.Service().Rate
+	}
 }
 
 // running estimates how many requests run at the server.
--- a/internal/request/servermodel/server.go
+++ b/internal/request/servermodel/server.go
@@ -30,16 +30,8 @@
 	meanSize float64
 }
 
-// estimate is a server's duration relative to the service's line.
-type estimate struct {
-	factor float64
-	// weight is that of the samples of all instances, and newest the time of the newest one.
-	weight float64
-	newest time.Time
-}
-
-// Figures are the estimates of a server's speed while its work takes as long as normal, and how long it takes now.
-type Figures struct {
+// Speed is the estimated speed of a server while its work takes as long as normal, and how long it takes now.
+type Speed struct {
 	// Rate is the prefill rate in tokens per millisecond, BaseMS the time to the first event without prefill.
 	Rate   float64
 	BaseMS float64
@@ -47,6 +39,11 @@
 	StepMS, StepMSPerRequest float64
 	// Work is how many times as long as normal work takes now; all durations are to be multiplied by it.
 	Work float64
+}
+
+// Figures are the estimated speed of a server with the evidence.
+type Figures struct {
+	Speed
 	// Prefill, Step and WorkFigure say on what the figures rest.
 	Prefill, Step, WorkFigure Basis
 }
@@ -68,23 +65,30 @@
 }
 
 // StepDuration returns the duration of a decode step with this number of running requests, at the current work figure.
-func (f *Figures) StepDuration(running int) time.Duration {
+func (f *Speed) StepDuration(running int) time.Duration {
 	return time.Duration((f.StepMS + f.StepMSPerRequest*float64(running)) * f.Work * float64(time.Millisecond))
 }
 
 // Figures returns the estimates for a server.
 func (s *Server) Figures(now time.Time) Figures {
 	prefill, decode := &s.estimates[firstEvent], &s.estimates[step]
-	lines := &s.model.curves
+	speed := s.Speed(now)
 	return Figures{
-		Rate:             1 / (lines[firstEvent].fitted.perUnit * prefill.factor),
-		BaseMS:           lines[firstEvent].fitted.fixed * prefill.factor,
-		StepMS:           lines[step].fitted.fixed * decode.factor,
-		StepMSPerRequest: lines[step].fitted.perUnit * decode.factor,
-		Work:             s.work.factor(now),
-		Prefill:          Basis{Weight: prefill.weight, Newest: prefill.newest},
-		Step:             Basis{Weight: decode.weight, Newest: decode.newest},
-		WorkFigure:       Basis{Weight: min(s.work.percent, 1), Newest: s.work.at},
+		Speed:      speed,
+		Prefill:    Basis{Weight: prefill.weight, Newest: prefill.newest},
+		Step:       Basis{Weight: decode.weight, Newest: decode.newest},
+		WorkFigure: Basis{Weight: min(s.work.percent, 1), Newest: s.work.at},
+	}
+}
+
+// Speed returns the estimates without what they rest on.
+func (s *Server) Speed(now time.Time) Speed {
+	prefill, decode := s.estimates[firstEvent].factor, s.estimates[step].factor
+	lines := &s.model.curves
+	return Speed{
+		Rate: 1 / (lines[firstEvent].fitted.perUnit * prefill), BaseMS: lines[firstEvent].fitted.fixed * prefill,
+		StepMS: lines[step].fitted.fixed * decode, StepMSPerRequest: lines[step].fitted.perUnit * decode,
+		Work: s.work.factor(now),
 	}
 }
 
@@ -101,11 +105,11 @@
 	if sample.Took <= 0 || sample.Tokens < 0 || sample.Ahead < 0 {
 		return
 	}
-	own, all := float64(sample.Tokens), float64(sample.Tokens+sample.Ahead)
+	own, ahead := float64(sample.Tokens), float64(sample.Ahead)
 	curve := &s.model.curves[firstEvent]
-	// The more of the expected time is that of other requests, the less the sample says.
-	weight := curve.fitted.at(own) / curve.fitted.at(all)
-	s.observe(now, firstEvent, all, milliseconds(sample.Took), weight)
+	// The more of the expected time is that of other requests, the less the sample says. On the mean, half of their tokens were still ahead.
+	weight := curve.fitted.at(own) / curve.fitted.at(own+ahead)
+	s.observe(now, firstEvent, own+ahead/2, milliseconds(sample.Took), weight)
 }
 
 // Pause is a sample: the time between events of a stream.
@@ -121,7 +125,9 @@
 	if sample.Took <= 0 || sample.Tokens <= 0 {
 		return
 	}
-	s.observe(now, step, float64(max(sample.Running, 1)), milliseconds(sample.Took)/float64(sample.Tokens), 1)
+	running := float64(max(sample.Running, 1))
+	// All running streams see the same steps, so their samples together count as one.
+	s.observe(now, step, running, milliseconds(sample.Took)/float64(sample.Tokens), 1/running)
 }
 
 func (s *Server) observe(now time.Time, kind quantity, size, duration, weight float64) {
@@ -131,17 +137,26 @@
 		s.notice(WorkContradicted)
 	}
 	work := s.work.factor(now)
+	forCurve := kind == step || weight >= minCurveWeight
 	weight *= s.work.weight()
 	s.decay(now, kind)
-	own.bins.add(relative/work, weight)
+	ratio := relative / work
+	if s.work.notable() && work > s.work.usualFactor() {
+		// The long work may have ended since the figure was given, so the sample shows no higher speed.
+		ratio = max(ratio, s.estimates[kind].factor)
+	}
+	own.bins.add(ratio, weight)
 	own.newest = now
 	if own.meanSize == 0 {
 		own.meanSize = size
 	}
 	const meanWeight = 0.1
 	own.meanSize += meanWeight * (size - own.meanSize)
-	normalized := duration / work * s.model.median[kind] / s.estimates[kind].factor
-	curve.add(size, normalized, weight)
+	normalization := min(max(s.model.median[kind]/s.estimates[kind].steady, 1/maxNormalization), maxNormalization)
+	normalized := ratio * curve.fitted.at(size) * normalization
+	if forCurve {
+		curve.add(size, normalized, weight)
+	}
 	s.model.refit(now)
 	if now.Sub(s.refreshedAt) >= refreshInterval {
 		s.refresh(now)
@@ -164,58 +179,4 @@
 	}
 }
 
-// refresh computes the estimates from the samples of all instances. Pick reads only its results, so that its time does not depend on the number
-// of peers.
-func (s *Server) refresh(now time.Time) {
-	s.refreshedAt = now
-	live := s.model.livePeers(now)
-	decoded := s.estimate(now, step, live, 1, serviceWeight)
-	prior, priorWeight := 1.0, serviceWeight
-	if decoded.weight >= 1 {
-		prior, priorWeight = decoded.factor, stepWeight
-	}
-	prefilled := s.estimate(now, firstEvent, live, prior, priorWeight)
-	if decoded.weight < serviceWeight && prefilled.weight >= 1 {
-		decoded.factor = prefilled.factor
-	}
-	s.estimates[step], s.estimates[firstEvent] = decoded, prefilled
-}
-
-// estimate returns the estimate of one duration; the prior counts like a sample of its weight.
-func (s *Server) estimate(now time.Time, kind quantity, live []*peer, prior, priorWeight float64) estimate {
-	s.decay(now, kind)
-	own := &s.samples[kind]
-	sum := own.bins
-	result := estimate{newest: own.newest}
-	ownWeight := own.bins.total()
-	known := make([]*peerServer, 0, len(live))
-	weights := append(make([]float64, 0, len(live)+1), ownWeight)
-	scales := make([]float64, 0, len(live))
-	timeConstant := tau(s.estimates[kind].weight)
-	for _, each := range live {
-		reported := each.servers[s.id]
-		if reported == nil || reported.startedUnixMS != s.startedUnixMS || len(reported.samples[kind]) == 0 {
-			continue
-		}
-		scale := math.Exp(-max(now.Sub(each.at).Seconds(), 0) / timeConstant)
-		known, scales = append(known, reported), append(scales, scale)
-		weights = append(weights, scale*reported.weights[kind])
-	}
-	limit := weightLimit(weights)
-	for index, reported := range known {
-		scale := scales[index] * limitedScale(weights[index+1], limit)
-		sum.addSparse(reported.samples[kind], scale, reported.shifts[kind])
-		if reported.newest[kind].After(result.newest) {
-			result.newest = reported.newest[kind]
-		}
-	}
-	if result.weight = sum.total(); result.weight < minBinWeight {
-		result.factor = prior
-		return result
-	}
-	sum.add(prior, priorWeight)
-	result.factor = min(max(sum.quantile(lowQuantile), 1/speedLimit), speedLimit)
-	return result
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/request/servermodel/share.go
+++ b/internal/request/servermodel/share.go
@@ -22,7 +22,7 @@
 	maxPeers = 64
 	// peerTTL is how long a report is used, as for the load that peers report.
 	peerTTL = 3 * time.Second
-	// peerWeight is the weight of one peer at most, in typical instances, because its report may be false.
+	// peerWeight is the weight of one peer at most, in mean instances, because its report may be false.
 	peerWeight = 3.0
 	// maxReportedMS bounds the durations in a report.
 	maxReportedMS = 60_000.0
@@ -40,6 +40,10 @@
 	// WorkPercent is the last work figure in a response to this instance, 0 without a recent one, and WorkAgeMS its age.
 	WorkPercent int64 `cbor:"6,keyasint,omitempty"`
 	WorkAgeMS   int64 `cbor:"7,keyasint,omitempty"`
+	// Factors are the sender's estimates of the two durations relative to the service's, from the samples of all instances: two bins, or none.
+	Factors []byte `cbor:"8,keyasint,omitempty"`
+	// Evidence holds the weights of the sender's samples that agreed with the work figures and that contradicted them, or nothing.
+	Evidence []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // CurveReport holds an instance's samples of the service's durations.
@@ -88,6 +92,12 @@
 			}
 		}
 	}
+	if len(s.Factors) != 0 && (len(s.Factors) != int(quantities) || slices.Max(s.Factors) >= binCount) {
+		return oops.Errorf("found factors %v, want %d below %d", s.Factors, quantities, binCount)
+	}
+	if len(s.Evidence) != 0 && (len(s.Evidence) != 2 || slices.Max(s.Evidence) > maxWeightLog*weightSteps) {
+		return oops.Errorf("found evidence %v, want two weights of at most %d", s.Evidence, maxWeightLog*weightSteps)
+	}
 	if s.WorkPercent < 0 || s.WorkPercent > normalWork*workLimit {
 		return oops.Errorf("found a work figure of %d, want 0 to %g", s.WorkPercent, normalWork*workLimit)
 	}
@@ -163,6 +173,12 @@
 	report.Steps = encodeBins(s.samples[step].bins.sparse(maxReportedBins))
 	report.FirstEventAgeMS = reportedAge(now, s.samples[firstEvent].newest)
 	report.StepAgeMS = reportedAge(now, s.samples[step].newest)
+	if s.estimates[firstEvent].weight >= 1 && s.estimates[step].weight >= 1 {
+		report.Factors = []byte{binOf(s.estimates[firstEvent].factor), binOf(s.estimates[step].factor)}
+	}
+	if s.work.agreeing+s.work.contradicting >= 1 {
+		report.Evidence = []byte{encodeWeight(float32(s.work.agreeing)), encodeWeight(float32(s.work.contradicting))}
+	}
 	if s.work.own && !s.work.distrusted && now.Sub(s.work.at) <= workLifetime {
 		report.WorkPercent, report.WorkAgeMS = int64(math.Round(s.work.percent)), reportedAge(now, s.work.at)
 	}
@@ -177,20 +193,16 @@
 }
 
 func (c *curve) report() CurveReport {
-	type sample struct {
-		bucket int
-		binWeight
-	}
-	var list []sample
+	var list []curveSample
 	for index := range c.buckets {
 		for _, each := range c.buckets[index].sparse(binCount) {
-			list = append(list, sample{index, each})
+			list = append(list, curveSample{uint8(index), each})
 		}
 	}
-	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortFunc(list, func(a, b curveSample) int { return cmp.Compare(b.weight, a.weight) })
 	report := CurveReport{FixedMS: c.fitted.fixed, PerUnitMS: c.fitted.perUnit}
 	for _, each := range list[:min(len(list), maxCurveBins)] {
-		report.Samples = append(report.Samples, byte(each.bucket), each.bin, encodeWeight(each.weight))
+		report.Samples = append(report.Samples, each.bucket, each.bin, encodeWeight(each.weight))
 	}
 	return report
 }
@@ -212,10 +224,15 @@
 
 // peerServer is what a peer has measured of one server.
 type peerServer struct {
+	// at is when the report arrived.
+	at            time.Time
 	startedUnixMS int64
 	samples       [quantities][]binWeight
 	weights       [quantities]float64
 	newest        [quantities]time.Time
+	// factors are the peer's estimates, 0 without any, and agreeing and contradicting its evidence on the work figures.
+	factors                 [quantities]float64
+	agreeing, contradicting float64
 	// shifts move the peer's bins to those of the line in use here.
 	shifts [quantities]int
 }
@@ -261,13 +278,21 @@
 		}
 	}
 	for id, server := range report.Servers {
-		known := &peerServer{startedUnixMS: server.StartedUnixMS, shifts: shifts}
+		known := &peerServer{at: now, startedUnixMS: server.StartedUnixMS, shifts: shifts}
 		ages := [quantities]int64{server.FirstEventAgeMS, server.StepAgeMS}
 		for kind, bins := range [quantities][]byte{server.FirstEvents, server.Steps} {
 			known.samples[kind] = decodeBins(bins)
 			known.weights[kind] = weightOf(known.samples[kind])
 			known.newest[kind] = now.Add(-time.Duration(ages[kind]) * time.Millisecond)
 		}
+		if len(server.Factors) > 0 {
+			for kind := range known.factors {
+				known.factors[kind] = ratioOf(int(server.Factors[kind]) + shifts[kind])
+			}
+		}
+		if len(server.Evidence) > 0 {
+			known.agreeing, known.contradicting = float64(decodeWeight(server.Evidence[0])), float64(decodeWeight(server.Evidence[1]))
+		}
 		p.servers[id] = known
 	}
 	return p
@@ -285,20 +310,16 @@
 	return m.peers
 }
 
-// weightLimit returns the largest weight of one peer: peerWeight times the median of the instances that have samples.
-func weightLimit(weights []float64) float64 {
-	positive := slices.DeleteFunc(slices.Clone(weights), func(weight float64) bool { return weight < minBinWeight })
-	if len(positive) < 2 {
-		return math.Inf(1)
+// limitPeers reduces the weights of peers, all but the first of weights, to peerWeight times the mean of the other instances, or to typical where that
+// is larger: a server may have samples from one instance alone. peers is the number of all peers, also those without samples.
+func limitPeers(weights []float64, peers int, typical float64) {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
 	}
-	slices.Sort(positive)
-	return peerWeight * positive[(len(positive)-1)/2]
-}
-
-// limitedScale returns the factor by which a weight is reduced to a limit.
-func limitedScale(weight, limit float64) float64 {
-	if weight <= limit {
-		return 1
+	for index := 1; index < len(weights); index++ {
+		limit := max(peerWeight*(total-weights[index])/float64(peers), typical)
+		total -= max(weights[index]-limit, 0)
+		weights[index] = min(weights[index], limit)
 	}
-	return limit / weight
 }
