Health of plain servers by the results of all instances: counts, evidence, states, trials

Cause: each instance knew only its own results, about one a second for each server of a small service.

--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -22,6 +22,10 @@
 	unsharedTokens ident.Tokens
 	started        bool
 	ended          bool
+	// plain means that the request went to a plain service, and trial that it tries an ejected server.
+	plain, trial bool
+	// firstEventAt is when the first event arrived; zero before.
+	firstEventAt time.Time
 }
 
 // StartAttempt records that a request is sent to the chosen server.
@@ -32,7 +36,9 @@
 	attempt := &Attempt{
 		balancer: b, server: server, sentAt: now, expected: choice.TimeToFirstEvent, load: Load{Active: 1},
 		noBacklog: choice.Load.Prefill.Total() == 0, unsharedTokens: query.Prompt - sharedTokens(query.Parts),
+		plain: !query.Engine, trial: choice.Trial,
 	}
+	b.startTrial(attempt)
 	if query.Engine {
 		attempt.priority = query.PriorityLevel
 		attempt.load.Prefill[query.PriorityLevel] = choice.Uncached
@@ -54,7 +60,7 @@
 	if a.started || a.ended {
 		return
 	}
-	a.started = true
+	a.started, a.firstEventAt = true, now
 	a.server.local.Prefill[a.priority] -= a.load.Prefill[a.priority]
 	a.load.Prefill = PrefillTokens{}
 	if a.noBacklog {
@@ -90,6 +96,8 @@
 	Overloaded
 	// Unreachable is a failed connection attempt.
 	Unreachable
+	// ServerFailed is a complete response with a server's error.
+	ServerFailed
 )
 
 // End removes the request from the server's load and records its result. Further calls have no effect.
@@ -102,5 +110,5 @@
 	a.ended = true
 	delete(a.server.attempts, a)
 	a.server.local.subtract(a.load)
-	a.server.health.record(now, result)
+	a.recordHealth(now, result)
 }
--- a/internal/request/placement/health.go
+++ b/internal/request/placement/health.go
@@ -48,7 +48,7 @@
 	case Succeeded:
 		h.failureRate -= failureWeight * h.failureRate
 		h.connectFailures = 0
-	case Failed:
+	case Failed, ServerFailed:
 		h.recordFailure(now)
 	case Overloaded:
 		h.ejectedUntil = now.Add(overloadEjection)
--- /dev/null
+++ b/internal/request/placement/health_evidence.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Evidence that a server does worse than the others of its service.
+const (
+	// suspectScore and ejectScore are the scores from which a server is suspect or ejected. From evidenceFloor, it takes some ten requests to reach
+	// ejectScore at a server of which every second request fails; a server like the others practically never does.
+	suspectScore = 1.0
+	ejectScore   = 3.0
+	// evidenceFloor bounds how far the evidence for a server outweighs later evidence against it.
+	evidenceFloor = 1.0
+	// trialScore is the score at or below which a server has passed its trial; three successes give it.
+	trialScore = -0.8
+	// priorRequests is the weight of the usual rate in a server's rate.
+	priorRequests = 5
+)
+
+// tally counts requests, and those of them that are evidence against the server.
+type tally struct{ bad, total float64 }
+
+// criterion is a kind of failure, and which of its rates are usual.
+type criterion struct {
+	cause Cause
+	// least and most bound the rate that counts as usual, assumed is used without other servers, and excess is how much above the usual rate a faulty
+	// server's is.
+	least, most, assumed, excess float64
+	count                        func(*ServerCounts) tally
+}
+
+// criteria are the kinds of failures that are found by their rates.
+var criteria = [...]criterion{
+	{
+		cause: CauseBroken, least: 0.02, most: 0.1, assumed: 0.02, excess: 0.25,
+		count: func(c *ServerCounts) tally { return tally{bad: c.Failures, total: c.delivered()} },
+	},
+	{
+		cause: CauseErrors, least: 0.05, most: 0.3, assumed: 0.15, excess: 0.3,
+		count: func(c *ServerCounts) tally { return tally{bad: c.Errors, total: c.delivered()} },
+	},
+	{
+		cause: CauseSlow, least: 0.05, most: 0.3, assumed: 0.1, excess: 0.4,
+		count: func(c *ServerCounts) tally { return tally{bad: c.Slow, total: c.Timed} },
+	},
+}
+
+// evidence is a test of whether a server's rate of failures is usual or usual plus an excess: the logarithm of the ratio of the probabilities of its
+// results, decayed and with a floor, so that a long time without failures does not delay the detection.
+type evidence struct {
+	// baseline is the part of the server's decayed tally that is left out of the score, as of at.
+	baseline tally
+	at       time.Time
+	score    float64
+}
+
+// update computes the score from the server's tally as of now.
+func (e *evidence) update(now time.Time, current tally, usual, excess float64) {
+	factor := decayFactor(now.Sub(e.at))
+	e.at = now
+	// The tally shrinks when a peer's report expires.
+	e.baseline.bad = min(e.baseline.bad*factor, current.bad)
+	e.baseline.total = min(e.baseline.total*factor, current.total)
+	bad := current.bad - e.baseline.bad
+	good := max(current.total-e.baseline.total-bad, 0)
+	e.score = bad*math.Log((usual+excess)/usual) + good*math.Log((1-usual-excess)/(1-usual))
+	if e.score < -evidenceFloor {
+		kept := evidenceFloor / -e.score
+		e.baseline = tally{bad: current.bad - kept*bad, total: current.total - kept*(good+bad)}
+		e.score = -evidenceFloor
+	}
+}
+
+// reset leaves all results so far out of the score.
+func (e *evidence) reset(now time.Time, current tally) { *e = evidence{baseline: current, at: now} }
+
+// usualRate returns the rate of failures that is usual at the other servers: the lower median, so that one faulty server does not hide another.
+func (c *criterion) usualRate(others []tally) float64 {
+	rates := make([]float64, 0, len(others))
+	for _, other := range others {
+		if other.total > 0 {
+			rates = append(rates, other.rate(c.least))
+		}
+	}
+	if len(rates) == 0 {
+		return c.assumed
+	}
+	slices.Sort(rates)
+	return min(max(rates[(len(rates)-1)/2], c.least), c.most)
+}
+
+// rate returns the fraction of bad requests, with the usual rate for servers that have had few requests.
+func (t tally) rate(usual float64) float64 { return (t.bad + priorRequests*usual) / (t.total + priorRequests) }
--- /dev/null
+++ b/internal/request/placement/health_pick.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"vanillapond/pkg/ident"
+)
+
+// Costs of servers by their health, in units of a request's value.
+const (
+	// suspectCost makes suspect servers the last choice before full ones.
+	suspectCost = 0.4
+	// excessCost is the cost per unit by which the failure rate of a server exceeds toleratedExcess.
+	excessCost      = 0.8
+	toleratedExcess = 0.15
+	// recentFailureCost is the cost, for a request that must not run twice, of a server whose connections broke or were refused; it decreases to 0
+	// in failureMemory.
+	recentFailureCost = 0.3
+	failureMemory     = 5 * time.Second
+	// noSuccessCost is the cost, for a request that must not run twice, of a server without a success within successMemory at any instance.
+	noSuccessCost = 0.15
+	successMemory = 2 * time.Second
+	// failureRateCost makes the failure rate decide about a request that a server answered with an error.
+	failureRateCost = 10
+)
+
+// tier is the order in which servers are considered.
+type tier int
+
+// Tiers of servers; those of a later tier get a request only if there is none of an earlier one.
+const (
+	usable tier = iota
+	overloaded
+	ejected
+	excluded
+)
+
+// HealthReport returns what this instance reports to its peers about the servers; false if the service does not share it.
+func (b *Balancer) HealthReport(now time.Time) (HealthReport, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shared == nil {
+		return HealthReport{}, false
+	}
+	return b.shared.report(now, b.members), true
+}
+
+// MergeHealth replaces a peer's report, which the caller has checked.
+func (b *Balancer) MergeHealth(now time.Time, from ident.Process, report HealthReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shared != nil {
+		b.shared.merge(now, from, report)
+	}
+}
+
+// HealthEvents returns the changes of the servers' states since the last call, after updating them.
+func (b *Balancer) HealthEvents(now time.Time) []HealthEvent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shared == nil {
+		return nil
+	}
+	b.shared.evaluate(now, b.members)
+	events := b.shared.events
+	b.shared.events = nil
+	return events
+}
+
+// configureHealth turns shared health on or off.
+func (b *Balancer) configureHealth(settings Settings) {
+	switch {
+	case !settings.SharedHealth:
+		b.shared = nil
+	case b.shared == nil || b.shared.process != settings.Process:
+		b.shared = newHealthTracker(settings.Process)
+	}
+}
+
+// collectByHealth sets eligible to the servers of the first tier that has any. A trial that is due has its server alone.
+func (b *Balancer) collectByHealth(now time.Time, query Query) (isTrial bool) {
+	tracker := b.shared
+	tracker.evaluate(now, b.members)
+	mayBeTrial := tracker.mayBeTrial(now, query)
+	if query.MayRunTwice {
+		tracker.repeatableAt = now
+	}
+	b.eligible = b.eligible[:0]
+	best := excluded
+	for _, candidate := range b.members {
+		if slices.Contains(query.Avoid, candidate.ID) || slices.Contains(query.Exclude, candidate.ID) {
+			continue
+		}
+		candidate.load = candidate.remote
+		candidate.load.add(candidate.local)
+		if mayBeTrial && tracker.mayTry(now, candidate) {
+			b.eligible = append(b.eligible[:0], candidate)
+			return true
+		}
+		switch found := tracker.tier(now, candidate, query); {
+		case found == excluded || found > best:
+		case found < best:
+			best = found
+			b.eligible = append(b.eligible[:0], candidate)
+		default:
+			b.eligible = append(b.eligible, candidate)
+		}
+	}
+	return false
+}
+
+func (t *healthTracker) tier(now time.Time, candidate *server, query Query) tier {
+	health := t.servers[candidate.ID]
+	switch {
+	case !query.MayRunTwice && health.findings.unproven:
+		return excluded
+	case health.state == Ejected, health.state == OnTrial && (!query.MayRunTwice || len(candidate.attempts) > 0):
+		return ejected
+	case candidate.health.ejected(now):
+		return overloaded
+	default:
+		return usable
+	}
+}
+
+// penalty returns the cost of a server's health for a request.
+func (t *healthTracker) penalty(now time.Time, candidate *server, query Query) float64 {
+	health := t.servers[candidate.ID]
+	cost := overdueCost*float64(candidate.overdue(now)) + excessCost*max(health.failureRate-toleratedExcess, 0)
+	if health.state != Healthy {
+		cost += suspectCost
+	}
+	if query.AfterError {
+		cost += failureRateCost * health.failureRate
+	}
+	if query.MayRunTwice {
+		return cost
+	}
+	if failed := health.findings.failed; !failed.IsZero() {
+		cost += recentFailureCost * max(1-float64(now.Sub(failed))/float64(failureMemory), 0)
+	}
+	if now.Sub(health.findings.succeeded) > successMemory {
+		cost += noSuccessCost
+	}
+	return cost
+}
+
+// healthPenalty returns the cost of a server's failures and overdue requests.
+func (b *Balancer) healthPenalty(now time.Time, candidate *server, query Query) float64 {
+	if b.shared == nil || query.Engine {
+		return candidate.penalty(now)
+	}
+	return b.shared.penalty(now, candidate, query)
+}
+
+// failedAt returns when a connection to a server last broke or was refused at any instance; zero if that is not known.
+func (b *Balancer) failedAt(chosen *server, query Query) time.Time {
+	if b.shared == nil || query.Engine {
+		return time.Time{}
+	}
+	return b.shared.servers[chosen.ID].findings.failed
+}
+
+// startTrial counts an attempt as a trial, if it is one.
+func (b *Balancer) startTrial(attempt *Attempt) {
+	if attempt.trial && b.shared != nil {
+		health := b.shared.server(attempt.sentAt, attempt.server.ID)
+		health.trials++
+		health.times.trial = attempt.sentAt
+		b.shared.evaluatedAt = time.Time{}
+	}
+}
+
+// recordHealth records the result of an attempt.
+func (a *Attempt) recordHealth(now time.Time, result Result) {
+	shared := a.balancer.shared
+	if shared == nil || !a.plain {
+		a.server.health.record(now, result)
+		return
+	}
+	if result != Unreachable {
+		a.server.health.record(now, result)
+	}
+	endedAt := now
+	if a.started {
+		endedAt = a.firstEventAt
+	}
+	shared.record(now, a.server.ID, result, a.sentAt, endedAt.Sub(a.sentAt))
+	if health := shared.servers[a.server.ID]; a.trial {
+		health.trials = max(health.trials-1, 0)
+	}
+}
--- /dev/null
+++ b/internal/request/placement/health_tracker.go
@@ -0,0 +1,358 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vanillapond/pkg/ident"
+)
+
+const (
+	// evaluationInterval is the time between two evaluations of all results, if this instance has none that may change a state.
+	evaluationInterval = 10 * time.Millisecond
+	// minPeerWeight is the number of a peer's requests that always count, and maxPeerWeight how many times the median instance's requests count at
+	// most, so that a peer with false counts weighs no more than one instance.
+	minPeerWeight = 3.0
+	maxPeerWeight = 2.0
+	// contribution is the decayed count of bad results from which an instance counts as having seen them.
+	contribution = 0.1
+	// provingPeers is the number of peers that must have a later success before this instance takes a server for usable that it has not tried itself.
+	provingPeers = 2
+	// orderMargin is by how much a peer's success must be later than a failure, since datagrams are delayed.
+	orderMargin = 20 * time.Millisecond
+	// slowFactor and slowFloor are how much longer than usual a slow response takes. Noise on a server's machine takes up to 2.5 times as long.
+	slowFactor = 3
+	slowFloor  = 15 * time.Millisecond
+	// maxHealthEvents bounds the events that wait to be read, and forgetAfter is how long a server that is no longer a candidate is remembered.
+	maxHealthEvents = 128
+	forgetAfter     = 10 * time.Second
+)
+
+// serverHealth is what an instance knows of a server's health.
+type serverHealth struct {
+	condition
+	// own are this instance's counts as of ownAt, and times its newest results.
+	own   ServerCounts
+	ownAt time.Time
+	times healthTimes
+	// trials counts this instance's trials in flight.
+	trials int
+	// total are the counts of all instances at the last evaluation, and evidences the tests of each of criteria by them.
+	total     ServerCounts
+	evidences [len(criteria)]evidence
+	findings  findings
+	// brokenAt, refusedAt and trialAt are when a connection last broke or was refused, or a trial was made, at any instance. They only grow.
+	brokenAt, refusedAt, trialAt time.Time
+	// failureRate is the fraction of requests that failed at the server, by all instances' counts.
+	failureRate float64
+	// memberAt is when the server was last a candidate.
+	memberAt time.Time
+}
+
+// peerHealth is the last report of a peer.
+type peerHealth struct {
+	reportedAt time.Time
+	// hash is the hash of the peer's process, for rendezvous hashing.
+	hash   uint64
+	counts map[ident.Endpoint]ServerCounts
+	times  map[ident.Endpoint]healthTimes
+}
+
+// healthTracker finds faulty servers by the results of all router instances.
+//
+// Load pattern: few servers get about a hundred requests a second from tens of instances, so that each instance alone sees a server once a second.
+//
+// It is part of a Balancer and guarded by its lock. Its state is bounded by the service's servers and maxHealthReports.
+type healthTracker struct {
+	process ident.Process
+	hash    uint64
+	servers map[ident.Endpoint]*serverHealth
+	peers   map[ident.Process]*peerHealth
+	// usualTime is the service's usual response time; 0 until one is known.
+	usualTime time.Duration
+	// evaluatedAt is when the states were last evaluated; zero if a result since then may change one.
+	evaluatedAt time.Time
+	// repeatableAt is when this instance last had a request that may run twice.
+	repeatableAt time.Time
+	// events are the changes that were not read yet, the oldest first.
+	events []HealthEvent
+}
+
+func newHealthTracker(process ident.Process) *healthTracker {
+	return &healthTracker{
+		process: process, hash: xxhash.Sum64String(string(process)),
+		servers: make(map[ident.Endpoint]*serverHealth), peers: make(map[ident.Process]*peerHealth),
+	}
+}
+
+func (t *healthTracker) server(now time.Time, id ident.Endpoint) *serverHealth {
+	found := t.servers[id]
+	if found == nil {
+		found = &serverHealth{condition: condition{state: Healthy, since: now}, ownAt: now, memberAt: now}
+		t.servers[id] = found
+	}
+	return found
+}
+
+// record adds the result of a request of this instance; took is the time to its first event, or to its end.
+func (t *healthTracker) record(now time.Time, id ident.Endpoint, result Result, sentAt time.Time, took time.Duration) {
+	health := t.server(now, id)
+	health.own, health.ownAt = health.own.decayed(now.Sub(health.ownAt)), now
+	switch result {
+	case Succeeded:
+		health.own.Successes++
+		health.times.success = latest(health.times.success, sentAt)
+		health.own.time(took, t.isSlow(took))
+		return
+	case Neutral:
+		// The time of a request that was given up is at least that.
+		if t.isSlow(took) {
+			health.own.time(took, true)
+		}
+	case Overloaded:
+		return
+	case Failed:
+		health.own.Failures++
+		health.times.broken = now
+	case ServerFailed:
+		health.own.Errors++
+	case Unreachable:
+		health.own.Refused++
+		health.times.refused = now
+	}
+	t.evaluatedAt = time.Time{}
+}
+
+func (c *ServerCounts) time(took time.Duration, slow bool) {
+	c.Timed++
+	c.Milliseconds += milliseconds(took)
+	if slow {
+		c.Slow++
+	}
+}
+
+func (t *healthTracker) isSlow(took time.Duration) bool {
+	return t.usualTime > 0 && took > max(slowFactor*t.usualTime, t.usualTime+slowFloor)
+}
+
+// counts returns this instance's counts as of now, with its requests that are slow already.
+func (t *healthTracker) counts(now time.Time, server *server) ServerCounts {
+	health := t.server(now, server.ID)
+	counts := health.own.decayed(now.Sub(health.ownAt))
+	for attempt := range server.attempts {
+		if took := now.Sub(attempt.sentAt); attempt.plain && !attempt.started && t.isSlow(took) {
+			counts.time(took, true)
+		}
+	}
+	return counts
+}
+
+// report returns this instance's report; servers without results are left out.
+func (t *healthTracker) report(now time.Time, members []*server) HealthReport {
+	servers := make(map[ident.Endpoint]ServerCounts)
+	for _, member := range members[:min(len(members), maxHealthServers)] {
+		counts := t.counts(now, member)
+		t.server(now, member.ID).times.ages(now, &counts)
+		if counts != (ServerCounts{}) {
+			servers[member.ID] = counts
+		}
+	}
+	return HealthReport{Servers: servers}
+}
+
+// merge replaces a peer's report.
+func (t *healthTracker) merge(now time.Time, from ident.Process, report HealthReport) {
+	before := t.peers[from]
+	if before == nil {
+		if len(t.peers) >= maxHealthReports {
+			return
+		}
+		before = &peerHealth{hash: xxhash.Sum64String(string(from))}
+	}
+	times := make(map[ident.Endpoint]healthTimes, len(report.Servers))
+	for id, counts := range report.Servers {
+		times[id] = timesOf(now, counts, before.times[id])
+	}
+	t.peers[from] = &peerHealth{reportedAt: now, hash: before.hash, counts: report.Servers, times: times}
+}
+
+// evaluate updates the states by all results.
+func (t *healthTracker) evaluate(now time.Time, members []*server) {
+	if now.Sub(t.evaluatedAt) < evaluationInterval && !now.Before(t.evaluatedAt) {
+		return
+	}
+	t.evaluatedAt = now
+	for process, peer := range t.peers {
+		if now.Sub(peer.reportedAt) > peerTTL {
+			delete(t.peers, process)
+		}
+	}
+	contributions := make([][len(criteria)]int, len(members))
+	for index, member := range members {
+		t.server(now, member.ID).memberAt = now
+		contributions[index] = t.sum(now, member)
+	}
+	t.updateUsualTime(members)
+	doubtful := t.doubtfulPeers(members)
+	wanted := make([]HealthState, len(members))
+	for index, member := range members {
+		health := t.servers[member.ID]
+		t.score(now, members, index)
+		health.findings = t.find(now, member, contributions[index], doubtful)
+		wanted[index] = health.next(now, health.findings)
+	}
+	t.limitEjected(members, wanted)
+	for index, member := range members {
+		t.transition(now, member.ID, wanted[index])
+	}
+	for id, health := range t.servers {
+		if now.Sub(health.memberAt) > forgetAfter {
+			delete(t.servers, id)
+		}
+	}
+}
+
+// sum sets the total counts of a server, with those of each peer limited to the weight of one instance, and returns how many instances contribute to
+// each criterion.
+func (t *healthTracker) sum(now time.Time, member *server) [len(criteria)]int {
+	health := t.servers[member.ID]
+	counts := make([]ServerCounts, 0, len(t.peers)+1)
+	counts = append(counts, t.counts(now, member))
+	for _, peer := range t.peers {
+		if reported, found := peer.counts[member.ID]; found {
+			counts = append(counts, reported.decayed(now.Sub(peer.reportedAt)))
+		}
+	}
+	weights := make([]float64, len(counts))
+	for index := range counts {
+		weights[index] = counts[index].weight()
+	}
+	slices.Sort(weights)
+	limit := max(minPeerWeight, maxPeerWeight*weights[len(weights)/2])
+	health.total = ServerCounts{}
+	var contributions [len(criteria)]int
+	for index, each := range counts {
+		factor := 1.0
+		if weight := each.weight(); index > 0 && weight > limit {
+			factor = limit / weight
+		}
+		health.total.add(each, factor)
+		for number, criterion := range criteria {
+			if criterion.count(&each).bad >= contribution {
+				contributions[number]++
+			}
+		}
+	}
+	return contributions
+}
+
+func (c *ServerCounts) weight() float64 { return max(c.delivered(), c.Timed) + c.Refused }
+
+// updateUsualTime sets the usual response time: the lower median of the servers' means.
+func (t *healthTracker) updateUsualTime(members []*server) {
+	var means []float64
+	for _, member := range members {
+		if total := t.servers[member.ID].total; total.Timed >= contribution {
+			means = append(means, total.Milliseconds/total.Timed)
+		}
+	}
+	if len(means) > 0 {
+		slices.Sort(means)
+		t.usualTime = time.Duration(means[(len(means)-1)/2] * float64(time.Millisecond))
+	}
+}
+
+// score updates the evidence about a server in comparison with the others.
+func (t *healthTracker) score(now time.Time, members []*server, index int) {
+	health := t.servers[members[index].ID]
+	failures := tally{bad: health.total.Failures + health.total.Errors, total: health.total.delivered()}
+	health.failureRate = failures.rate(criteria[0].least)
+	for number := range criteria {
+		c := &criteria[number]
+		others := make([]tally, 0, len(members))
+		for other, member := range members {
+			if other != index {
+				others = append(others, c.count(&t.servers[member.ID].total))
+			}
+		}
+		health.evidences[number].update(now, c.count(&health.total), c.usualRate(others), c.excess)
+	}
+}
+
+// transition sets a server's state.
+func (t *healthTracker) transition(now time.Time, id ident.Endpoint, state HealthState) {
+	health := t.servers[id]
+	found := health.findings
+	if state == health.state {
+		return
+	}
+	event := HealthEvent{
+		At: now, Server: id, State: state, Previous: health.state, Cause: health.cause, Instances: found.instances, Total: health.total,
+	}
+	if state == Suspect || state == Ejected {
+		health.cause, health.instances = found.cause, found.instances
+		event.Cause = found.cause
+	}
+	health.state, health.since = state, now
+	switch state {
+	case Ejected:
+		health.ejectedAt = now
+		t.resetEvidence(now, health)
+	case OnTrial:
+		t.resetEvidence(now, health)
+	case Healthy:
+		health.cause, health.instances = CauseNone, 0
+	case Suspect:
+	}
+	if len(t.events) == maxHealthEvents {
+		t.events = t.events[1:]
+	}
+	t.events = append(t.events, event)
+}
+
+func (t *healthTracker) resetEvidence(now time.Time, health *serverHealth) {
+	for number := range criteria {
+		health.evidences[number].reset(now, criteria[number].count(&health.total))
+	}
+}
+
+// limitEjected makes servers suspect instead of ejected where more than half of them would be, unless all refuse connections.
+func (t *healthTracker) limitEjected(members []*server, wanted []HealthState) {
+	var out []int
+	allRefuse := true
+	for index, state := range wanted {
+		if state == Ejected || state == OnTrial {
+			out = append(out, index)
+		}
+		allRefuse = allRefuse && state == Ejected && t.servers[members[index].ID].refuses()
+	}
+	if allRefuse || len(out) <= len(members)/2 {
+		return
+	}
+	rank := func(index int) int {
+		health := t.servers[members[index].ID]
+		switch {
+		case health.refuses():
+			return 0
+		case health.state == Ejected || health.state == OnTrial:
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
+	for _, index := range out[len(members)/2:] {
+		wanted[index] = Suspect
+	}
+}
+
+// refuses reports whether the server is, or is to be, ejected because it refuses connections.
+func (h *serverHealth) refuses() bool {
+	if h.state == Ejected || h.state == OnTrial {
+		return h.cause == CauseRefused
+	}
+	return h.findings.refused && h.findings.confirmed
+}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -52,6 +52,9 @@
 	MaxPause time.Duration
 	// Avoid holds the servers that the request was already sent to.
 	Avoid []ident.Endpoint
+	// MayRunTwice reports whether the request may be sent to a second server after one that may have run it, and AfterError whether a server that it
+	// was sent to answered with an error.
+	MayRunTwice, AfterError bool
 	// Exclude holds the servers that must not get the request now for other reasons.
 	Exclude []ident.Endpoint
 	// Later holds those of Exclude that take the request later.
@@ -76,6 +79,10 @@
 	Usable, Free int
 	// Reserved reports whether the server is reserved for latency-sensitive streams.
 	Reserved bool
+	// Trial reports whether the request tries an ejected server.
+	Trial bool
+	// FailedAt is when a connection to the server last broke or was refused at any instance that shares it; connections from before must not be used.
+	FailedAt time.Time
 }
 
 // Balancer tracks the load of the servers of one service and picks one of them for each request.
@@ -93,6 +100,8 @@
 	// settings are those of the service; guarded by mu.
 	settings    Settings
 	reservation reservation
+	// shared is the health of the servers by the results of all instances; nil if the service does not use it. Guarded by mu.
+	shared *healthTracker
 	cache       prefixCache
 	random      *rand.Rand
 	// eligible holds the servers that the current Pick compares; its memory is reused. Guarded by mu.
@@ -182,7 +191,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expirePeers(now)
-	b.collectEligible(now, query)
+	isTrial := false
+	if b.shared != nil && !query.Engine {
+		isTrial = b.collectByHealth(now, query)
+	} else {
+		b.collectEligible(now, query)
+	}
 	if len(b.eligible) == 0 {
 		return Choice{}, false
 	}
@@ -194,6 +208,7 @@
 	chosen, cost := b.cheapest(now, query)
 	choice := Choice{
 		Server: chosen.ID, Cost: cost, Load: chosen.load, Reserved: chosen.reserved, Usable: len(b.eligible), Free: b.countFree(),
+		Trial: isTrial, FailedAt: b.failedAt(chosen, query),
 	}
 	if query.Engine {
 		choice.Uncached = chosen.uncachedTokens(query, sharedTokens(query.Parts))
@@ -212,7 +227,7 @@
 	var best *server
 	least, ties := 0.0, 0
 	for _, candidate := range b.eligible {
-		cost := costOf(candidate) + candidate.penalty(now)
+		cost := costOf(candidate) + b.healthPenalty(now, candidate, query)
 		switch {
 		case best == nil || cost < least:
 			best, least, ties = candidate, cost, 1
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"vanillapond/pkg/ident"
+)
 
 // Settings are the properties of a service that its configuration decides.
 type Settings struct {
@@ -10,6 +14,10 @@
 	TokensPerEvent int
 	// ShortestPause is the shortest pause between events that a stream of the service allows; streams that allow no more are latency-sensitive.
 	ShortestPause time.Duration
+	// SharedHealth turns on the health of servers by the results of all instances, for plain services.
+	SharedHealth bool
+	// Process is this instance, for the choice of the one that tries an ejected server.
+	Process ident.Process
 }
 
 // Configure sets the service's settings. Those of a service that is not load-aware have no effect.
@@ -21,4 +29,5 @@
 	}
 	b.settings = settings
 	b.speed.configure(settings)
+	b.configureHealth(settings)
 }
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -17,6 +17,11 @@
 	EjectedFor time.Duration
 	// Overdue counts this instance's requests at the server whose first event is overdue.
 	Overdue int
+	// Health is the state by the results of all instances, Cause why it is not healthy, and Instances how many instances' results show it. They are
+	// empty for services that don't share health.
+	Health    HealthState
+	Cause     Cause
+	Instances int
 }
 
 // ServerStatuses returns the view of each server that accepts new requests, in no particular order.
@@ -25,15 +30,23 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	prefilled := b.prefilledSince(now)
+	if b.shared != nil {
+		b.shared.evaluate(now, b.members)
+	}
 	statuses := make([]ServerStatus, 0, len(b.members))
 	for _, candidate := range b.members {
 		total := candidate.remote
 		total.Prefill.drain(prefilled)
 		total.add(candidate.local)
-		statuses = append(statuses, ServerStatus{
+		status := ServerStatus{
 			Server: candidate.ID, Local: candidate.local, Total: total, FailureRate: candidate.health.failureRate,
 			EjectedFor: max(candidate.health.ejectedUntil.Sub(now), 0), Overdue: candidate.overdue(now),
-		})
+		}
+		if b.shared != nil {
+			health := b.shared.servers[candidate.ID]
+			status.Health, status.Cause, status.Instances = health.state, health.cause, health.instances
+		}
+		statuses = append(statuses, status)
 	}
 	return statuses
 }
