--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -63,6 +63,9 @@
 	// AtMostOnce means that the request must not run twice. It gets a new connection or one that was idle for at most
 	// atMostOnceIdleTimeout.
 	AtMostOnce bool
+	// IdleSince is the time from which on a connection must have been idle to be reused; older ones are closed, because the server is known to have
+	// broken or refused connections since. Zero means any time.
+	IdleSince time.Time
 }
 
 // Config configures a pool.
@@ -147,7 +150,7 @@
 }
 
 // takeIdle returns an idle connection that the server has neither closed nor sent bytes on, or nil.
-func (p *Pool) takeIdle(atMostOnce bool) *conn {
+func (p *Pool) takeIdle(atMostOnce bool, idleSince time.Time) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -161,13 +164,14 @@
 			limit = min(limit, atMostOnceIdleTimeout)
 		}
 		age := now.Sub(c.idleSince)
-		if atMostOnce && age > limit && age <= c.idleTimeout {
+		outdated := c.idleSince.Before(idleSince)
+		if atMostOnce && !outdated && age > limit && age <= c.idleTimeout {
 			p.mu.Unlock()
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
-		if age <= limit && socket.IsIdle(c.Conn) {
+		if !outdated && age <= limit && socket.IsIdle(c.Conn) {
 			c.reused = true
 			return c
 		}
@@ -176,8 +180,8 @@
 }
 
 // connect returns an idle or a new connection.
-func (p *Pool) connect(ctx context.Context, atMostOnce bool) (*conn, error) {
-	if c := p.takeIdle(atMostOnce); c != nil {
+func (p *Pool) connect(ctx context.Context, request *Request) (*conn, error) {
+	if c := p.takeIdle(request.AtMostOnce, request.IdleSince); c != nil {
 		return c, nil
 	}
 	p.mu.Lock()
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -97,7 +97,7 @@
 //
 // The error is an *Error. The end of the context ends the request, even after the head has arrived.
 func (p *Pool) Send(ctx context.Context, request *Request) (*Response, error) {
-	c, err := p.connect(ctx, request.AtMostOnce)
+	c, err := p.connect(ctx, request)
 	if err != nil {
 		return nil, &Error{
 			Outcome: outcome.NotRun, Cause: err, Unreachable: !errors.Is(err, ErrNoConnection) && ctx.Err() == nil,
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -57,7 +57,9 @@
 
 // Config holds the dependencies and limits of a Forwarder.
 type Config struct {
-	Domain  ident.FailureDomain
+	Domain ident.FailureDomain
+	// Process is this instance.
+	Process ident.Process
 	Current *routes.Current
 	Servers *servers.Registry
 	// Balancer returns the balancer that picks the servers of a service.
@@ -197,6 +199,9 @@
 	attemptAt time.Time
 	// sentAt is when the current attempt was about to be sent.
 	sentAt clock.Reading
+	// serverFailedAt is when a connection to the server of the current attempt last broke or was refused, at any instance; zero if that is not
+	// known.
+	serverFailedAt time.Time
 	// firstEventAt is when the first event came from the server of the current attempt, zero before.
 	firstEventAt time.Time
 	// startCounted is set once the request was counted as started.
@@ -423,7 +428,10 @@
 
 // prepareQuery computes the request's digest and the properties by which a server is picked.
 func (c *call) prepareQuery() {
-	c.query = placement.Query{Objective: c.route.Objective.Duration(), MaxPause: c.route.MaxPause.Duration()}
+	c.query = placement.Query{
+		Objective: c.route.Objective.Duration(), MaxPause: c.route.MaxPause.Duration(),
+		MayRunTwice: c.mayRunTwice() && c.route.MaxServers > 1,
+	}
 	table := c.forwarder.config.Current.Table()
 	service := table.Service(c.service)
 	if prompt, ok := platform.ParsePrompt(c.request.Header); ok && service != nil && service.Engine != nil {
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -81,11 +81,11 @@
 func (c *call) relayFailure(response *direct.Response, server *servers.Server, body []byte) (attemptResult, placement.Result) {
 	if response.Status >= http.StatusInternalServerError && c.mayRetry(failedByServer) && time.Until(c.deadline) > minRemaining &&
 		c.forwarder.config.Budget(c.service).Remaining(time.Now()) >= 1 {
-		return failedByServer, placement.Failed
+		return failedByServer, placement.ServerFailed
 	}
 	result := c.relayBody(response, server, body, outcomeServerFailure, "server answered with a failure")
-	if response.Status >= http.StatusInternalServerError {
-		result = placement.Failed
+	if response.Status >= http.StatusInternalServerError && result != placement.Failed {
+		result = placement.ServerFailed
 	}
 	return done, result
 }
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -72,6 +72,7 @@
 				c.refuseAfter(result)
 				return
 			}
+			c.query.AfterError = c.query.AfterError || result == failedByServer
 		}
 	}
 }
@@ -146,7 +147,11 @@
 	balancer := c.forwarder.config.Balancer(c.service)
 	ready, generation := c.forwarder.config.Servers.Ready(c.service)
 	table := c.forwarder.config.Current.Table()
-	balancer.Configure(settings(table, c.service))
+	configured := settings(table, c.service)
+	if configured.SharedHealth {
+		configured.Process = c.forwarder.config.Process
+	}
+	balancer.Configure(configured)
 	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
 		return c.candidates(ready, table)
 	})
@@ -174,7 +179,7 @@
 	}
 	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	attempt := balancer.StartAttempt(now, c.query, choice)
-	c.breakCause, c.attemptAt, c.firstEventAt = nil, now, time.Time{}
+	c.breakCause, c.attemptAt, c.firstEventAt, c.serverFailedAt = nil, now, time.Time{}, choice.FailedAt
 	result, serverResult := c.exchange(server, attempt, hasTurn)
 	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
@@ -225,8 +230,12 @@
 		return placement.Settings{}
 	}
 	settings := placement.Settings{LoadAware: true, ShortestPause: table.ShortestPause(service)}
-	if known := table.Service(service); known != nil && known.Engine != nil {
+	switch known := table.Service(service); {
+	case known == nil:
+	case known.Engine != nil:
 		settings.TokensPerEvent = known.Engine.TokensPerEvent
+	default:
+		settings.SharedHealth = true
 	}
 	return settings
 }
@@ -248,8 +257,8 @@
 	response, err := server.Pool.Send(ctx, &direct.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
-		AtMostOnce: !c.mayRunTwice(),
-		Confirm:    func() bool { return c.confirm(server, hasTurn) },
+		AtMostOnce: !c.mayRunTwice(), IdleSince: c.serverFailedAt,
+		Confirm: func() bool { return c.confirm(server, hasTurn) },
 	})
 	if err != nil {
 		return c.handleSendError(err, server)
--- a/internal/request/placement/health_evidence.go
+++ b/internal/request/placement/health_evidence.go
@@ -93,4 +93,6 @@
 }
 
 // rate returns the fraction of bad requests, with the usual rate for servers that have had few requests.
-func (t tally) rate(usual float64) float64 { return (t.bad + priorRequests*usual) / (t.total + priorRequests) }
+func (t tally) rate(usual float64) float64 {
+	return (t.bad + priorRequests*usual) / (t.total + priorRequests)
+}
--- a/internal/request/placement/health_pick.go
+++ b/internal/request/placement/health_pick.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vanillapond/pkg/ident"
 )
 
@@ -40,26 +42,28 @@
 func (b *Balancer) HealthReport(now time.Time) (HealthReport, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.shared == nil {
+	if !b.sharesHealth() {
 		return HealthReport{}, false
 	}
 	return b.shared.report(now, b.members), true
 }
 
-// MergeHealth replaces a peer's report, which the caller has checked.
+// MergeHealth replaces a peer's report, which the caller has checked. It is kept before the first request, too, so that an instance that starts has the
+// answers of its peers.
 func (b *Balancer) MergeHealth(now time.Time, from ident.Process, report HealthReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.shared != nil {
-		b.shared.merge(now, from, report)
+	if b.shared == nil {
+		b.shared = newHealthTracker()
 	}
+	b.shared.merge(now, from, report)
 }
 
 // HealthEvents returns the changes of the servers' states since the last call, after updating them.
 func (b *Balancer) HealthEvents(now time.Time) []HealthEvent {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.shared == nil {
+	if !b.sharesHealth() {
 		return nil
 	}
 	b.shared.evaluate(now, b.members)
@@ -70,14 +74,19 @@
 
 // configureHealth turns shared health on or off.
 func (b *Balancer) configureHealth(settings Settings) {
-	switch {
-	case !settings.SharedHealth:
+	if !settings.SharedHealth {
 		b.shared = nil
-	case b.shared == nil || b.shared.process != settings.Process:
-		b.shared = newHealthTracker(settings.Process)
+		return
+	}
+	if b.shared == nil {
+		b.shared = newHealthTracker()
 	}
+	b.shared.hash = xxhash.Sum64String(string(settings.Process))
 }
 
+// sharesHealth reports whether the service uses the results of all instances; the caller holds mu.
+func (b *Balancer) sharesHealth() bool { return b.shared != nil && b.settings.SharedHealth }
+
 // collectByHealth sets eligible to the servers of the first tier that has any. A trial that is due has its server alone.
 func (b *Balancer) collectByHealth(now time.Time, query Query) (isTrial bool) {
 	tracker := b.shared
@@ -148,7 +157,7 @@
 
 // healthPenalty returns the cost of a server's failures and overdue requests.
 func (b *Balancer) healthPenalty(now time.Time, candidate *server, query Query) float64 {
-	if b.shared == nil || query.Engine {
+	if !b.sharesHealth() || query.Engine {
 		return candidate.penalty(now)
 	}
 	return b.shared.penalty(now, candidate, query)
@@ -156,7 +165,7 @@
 
 // failedAt returns when a connection to a server last broke or was refused at any instance; zero if that is not known.
 func (b *Balancer) failedAt(chosen *server, query Query) time.Time {
-	if b.shared == nil || query.Engine {
+	if !b.sharesHealth() || query.Engine {
 		return time.Time{}
 	}
 	return b.shared.servers[chosen.ID].findings.failed
@@ -164,7 +173,7 @@
 
 // startTrial counts an attempt as a trial, if it is one.
 func (b *Balancer) startTrial(attempt *Attempt) {
-	if attempt.trial && b.shared != nil {
+	if attempt.trial && b.sharesHealth() {
 		health := b.shared.server(attempt.sentAt, attempt.server.ID)
 		health.trials++
 		health.times.trial = attempt.sentAt
@@ -175,7 +184,7 @@
 // recordHealth records the result of an attempt.
 func (a *Attempt) recordHealth(now time.Time, result Result) {
 	shared := a.balancer.shared
-	if shared == nil || !a.plain {
+	if !a.balancer.sharesHealth() || !a.plain {
 		a.server.health.record(now, result)
 		return
 	}
--- a/internal/request/placement/health_tracker.go
+++ b/internal/request/placement/health_tracker.go
@@ -67,7 +67,7 @@
 //
 // It is part of a Balancer and guarded by its lock. Its state is bounded by the service's servers and maxHealthReports.
 type healthTracker struct {
-	process ident.Process
+	// hash is the hash of this instance's process, for rendezvous hashing.
 	hash    uint64
 	servers map[ident.Endpoint]*serverHealth
 	peers   map[ident.Process]*peerHealth
@@ -81,11 +81,8 @@
 	events []HealthEvent
 }
 
-func newHealthTracker(process ident.Process) *healthTracker {
-	return &healthTracker{
-		process: process, hash: xxhash.Sum64String(string(process)),
-		servers: make(map[ident.Endpoint]*serverHealth), peers: make(map[ident.Process]*peerHealth),
-	}
+func newHealthTracker() *healthTracker {
+	return &healthTracker{servers: make(map[ident.Endpoint]*serverHealth), peers: make(map[ident.Process]*peerHealth)}
 }
 
 func (t *healthTracker) server(now time.Time, id ident.Endpoint) *serverHealth {
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -100,10 +100,10 @@
 	// settings are those of the service; guarded by mu.
 	settings    Settings
 	reservation reservation
-	// shared is the health of the servers by the results of all instances; nil if the service does not use it. Guarded by mu.
+	// shared is the health of the servers by the results of all instances, used if settings.SharedHealth is set. Guarded by mu.
 	shared *healthTracker
-	cache       prefixCache
-	random      *rand.Rand
+	cache  prefixCache
+	random *rand.Rand
 	// eligible holds the servers that the current Pick compares; its memory is reused. Guarded by mu.
 	eligible []*server
 }
@@ -192,7 +192,7 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	isTrial := false
-	if b.shared != nil && !query.Engine {
+	if b.sharesHealth() && !query.Engine {
 		isTrial = b.collectByHealth(now, query)
 	} else {
 		b.collectEligible(now, query)
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -30,7 +30,7 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	prefilled := b.prefilledSince(now)
-	if b.shared != nil {
+	if b.sharesHealth() {
 		b.shared.evaluate(now, b.members)
 	}
 	statuses := make([]ServerStatus, 0, len(b.members))
@@ -42,7 +42,7 @@
 			Server: candidate.ID, Local: candidate.local, Total: total, FailureRate: candidate.health.failureRate,
 			EjectedFor: max(candidate.health.ejectedUntil.Sub(now), 0), Overdue: candidate.overdue(now),
 		}
-		if b.shared != nil {
+		if b.sharesHealth() {
 			health := b.shared.servers[candidate.ID]
 			status.Health, status.Cause, status.Instances = health.state, health.cause, health.instances
 		}
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -34,6 +34,7 @@
 	suspectEvents        *prometheus.CounterVec
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
+	healthChanges        *prometheus.CounterVec
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -94,6 +95,8 @@
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
+	m.healthChanges = newHealthChanges()
+	m.registry.MustRegister(m.healthChanges, serverHealthCollector{r})
 	m.registry.MustRegister(retryBudgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
@@ -219,6 +222,9 @@
 			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
 			"quiet", attempt.Choice.Reserved,
 			"paced", attempt.Choice.Load.LatencySensitive, "uncached", int64(attempt.Choice.Uncached))
+		if attempt.Choice.Trial {
+			pairs = append(pairs, "trial", true)
+		}
 		if attempt.Cause != nil {
 			broken = true
 			pairs = append(pairs, "err", attempt.Cause)
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -217,7 +217,7 @@
 
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
-		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
+		Domain: r.settings.Domain, Process: r.settings.Process, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get,
 		Budget:    r.retryBudgets.get,
 		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
--- a/internal/role/router/state.go
+++ b/internal/role/router/state.go
@@ -64,6 +64,11 @@
 	// EjectedMS is for how long the server gets no new requests from this instance, because a connection failed or the server was
 	// full.
 	EjectedMS int64 `json:"out_ms,omitempty"`
+	// Health is the state by the results of all instances, of plain servers of load-aware services, HealthCause why it is not healthy, and
+	// HealthInstances how many instances' results show that.
+	Health          placement.HealthState `json:"health,omitempty"`
+	HealthCause     placement.Cause       `json:"health_cause,omitempty"`
+	HealthInstances int                   `json:"health_instances,omitempty"`
 	// Missing reports that the server is used although its registration is not in the store, as after an outage of the store.
 	Missing bool `json:"missing,omitempty"`
 }
@@ -104,6 +109,7 @@
 			Server: server.ID, Service: server.Service, Address: server.Address, Domain: server.Domain, State: string(server.State),
 			Local: status.Local.Active, Active: status.Total.Active, Slots: server.Slots, Prefill: status.Total.Prefill.Total(),
 			Failures: status.FailureRate, Overdue: status.Overdue, EjectedMS: status.EjectedFor.Milliseconds(), Missing: server.Missing(),
+			Health: status.Health, HealthCause: status.Cause, HealthInstances: status.Instances,
 		})
 	}
 	slices.SortFunc(states, func(a, b ServerState) int {
