--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -24,6 +24,8 @@
 	ended          bool
 	// plain means that the request went to a plain service, and trial that it tries an ejected server.
 	plain, trial bool
+	// once means that the request must not run twice.
+	once bool
 	// firstEventAt is when the first event arrived; zero before.
 	firstEventAt time.Time
 }
@@ -36,7 +38,7 @@
 	attempt := &Attempt{
 		balancer: b, server: server, sentAt: now, expected: choice.TimeToFirstEvent, load: Load{Active: 1},
 		noBacklog: choice.Load.Prefill.Total() == 0, unsharedTokens: query.Prompt - sharedTokens(query.Parts),
-		plain: !query.Engine, trial: choice.Trial,
+		plain: !query.Engine, trial: choice.Trial, once: !query.MayRunTwice,
 	}
 	b.startTrial(attempt)
 	if query.Engine {
--- a/internal/request/placement/health_counts.go
+++ b/internal/request/placement/health_counts.go
@@ -29,6 +29,10 @@
 	Failures  float64 `cbor:"2,keyasint,omitempty"`
 	Errors    float64 `cbor:"3,keyasint,omitempty"`
 	Refused   float64 `cbor:"4,keyasint,omitempty"`
+	// Once counts the requests that the server got and that must not run twice, and OnceErrors those of Errors among them: services whose reads
+	// often fail answer writes with an error far less often.
+	Once       float64 `cbor:"12,keyasint,omitempty"`
+	OnceErrors float64 `cbor:"13,keyasint,omitempty"`
 	// Timed counts the requests with a known response time or with one that is known to be long, Slow those of them that took much longer than is
 	// usual for the service, and Milliseconds is the sum of their times.
 	Timed        float64 `cbor:"5,keyasint,omitempty"`
@@ -40,6 +44,8 @@
 	BrokenAge  int64 `cbor:"9,keyasint,omitempty"`
 	RefusedAge int64 `cbor:"10,keyasint,omitempty"`
 	TrialAge   int64 `cbor:"11,keyasint,omitempty"`
+	// Suspected means that the instance suspects the server by the counts of all instances.
+	Suspected bool `cbor:"14,keyasint,omitempty"`
 }
 
 // HealthReport is what one instance knows from its own requests about the health of a service's servers.
@@ -64,13 +70,14 @@
 }
 
 func (c ServerCounts) check() error {
-	for _, count := range []float64{c.Successes, c.Failures, c.Errors, c.Refused, c.Timed, c.Slow, c.Milliseconds / maxHealthCount} {
+	for _, count := range []float64{c.Successes, c.Failures, c.Errors, c.Refused, c.Once, c.OnceErrors, c.Timed, c.Slow, c.Milliseconds / maxHealthCount} {
 		if math.IsNaN(count) || count < 0 || count > maxHealthCount {
 			return oops.Errorf("found the count %v, want 0 to %v", count, maxHealthCount)
 		}
 	}
-	if c.Slow > c.Timed {
-		return oops.Errorf("found %v slow requests of %v", c.Slow, c.Timed)
+	const rounding = 1e-6
+	if c.Slow > c.Timed+rounding || c.OnceErrors > c.Errors+rounding || c.Once > c.delivered()+rounding || c.OnceErrors > c.Once+rounding {
+		return oops.Errorf("found counts of parts above those of the whole: %+v", c)
 	}
 	for _, age := range []int64{c.SuccessAge, c.BrokenAge, c.RefusedAge, c.TrialAge} {
 		if age < 0 || age > maxHealthAge.Milliseconds() {
@@ -89,6 +96,8 @@
 	c.Failures += factor * other.Failures
 	c.Errors += factor * other.Errors
 	c.Refused += factor * other.Refused
+	c.Once += factor * other.Once
+	c.OnceErrors += factor * other.OnceErrors
 	c.Timed += factor * other.Timed
 	c.Slow += factor * other.Slow
 	c.Milliseconds += factor * other.Milliseconds
@@ -118,6 +127,9 @@
 // failed returns when a connection last broke or was refused.
 func (t healthTimes) failed() time.Time { return latest(t.broken, t.refused) }
 
+// claimsFailure reports whether a failure is newer than the newest success.
+func (t *healthTimes) claimsFailure() bool { return t.failed().After(t.success) }
+
 // ages sets the ages of counts as of now.
 func (t healthTimes) ages(now time.Time, counts *ServerCounts) {
 	for _, each := range []struct {
--- a/internal/request/placement/health_evidence.go
+++ b/internal/request/placement/health_evidence.go
@@ -10,14 +10,20 @@
 const (
 	// suspectScore and ejectScore are the scores from which a server is suspect or ejected. From evidenceFloor, it takes some ten requests to reach
 	// ejectScore at a server of which every second request fails; a server like the others practically never does.
-	suspectScore = 1.0
-	ejectScore   = 3.0
+	suspectScore = 1.7
+	ejectScore   = 4.0
 	// evidenceFloor bounds how far the evidence for a server outweighs later evidence against it.
 	evidenceFloor = 1.0
-	// trialScore is the score at or below which a server has passed its trial; three successes give it.
-	trialScore = -0.8
+	// trialFloor is the floor while the server is on trial.
+	trialFloor = 2.0
+	// clearedScore is the score at or below which a server is no longer suspect.
+	clearedScore = 1.0
+	// failScore is the score from which a server has failed its trial, and passRefused the one at or below which it has passed the trial after it
+	// refused connections: two successes.
+	failScore   = 1.5
+	passRefused = -0.5
 	// priorRequests is the weight of the usual rate in a server's rate.
-	priorRequests = 5
+	priorRequests = 10
 )
 
 // tally counts requests, and those of them that are evidence against the server.
@@ -29,21 +35,32 @@
 	// least and most bound the rate that counts as usual, assumed is used without other servers, and excess is how much above the usual rate a faulty
 	// server's is.
 	least, most, assumed, excess float64
-	count                        func(*ServerCounts) tally
+	// onceOnly is set if only requests that must not run twice count, so that a trial says nothing about it. The criterion before it is that of the
+	// other requests.
+	onceOnly bool
+	// pass is the score at or below which a server has passed its trial after it was ejected for this cause; four requests without a failure give it.
+	pass  float64
+	count func(*ServerCounts) tally
 }
 
 // criteria are the kinds of failures that are found by their rates.
 var criteria = [...]criterion{
 	{
-		cause: CauseBroken, least: 0.02, most: 0.1, assumed: 0.02, excess: 0.25,
+		cause: CauseBroken, least: 0.02, most: 0.1, assumed: 0.02, excess: 0.25, pass: -1,
 		count: func(c *ServerCounts) tally { return tally{bad: c.Failures, total: c.delivered()} },
 	},
 	{
-		cause: CauseErrors, least: 0.05, most: 0.3, assumed: 0.15, excess: 0.3,
-		count: func(c *ServerCounts) tally { return tally{bad: c.Errors, total: c.delivered()} },
+		cause: CauseErrors, least: 0.05, most: 0.3, assumed: 0.15, excess: 0.3, pass: -1.5,
+		count: func(c *ServerCounts) tally {
+			return tally{bad: max(c.Errors-c.OnceErrors, 0), total: max(c.delivered()-c.Once, 0)}
+		},
 	},
 	{
-		cause: CauseSlow, least: 0.05, most: 0.3, assumed: 0.1, excess: 0.4,
+		cause: CauseErrors, least: 0.02, most: 0.3, assumed: 0.02, excess: 0.3, onceOnly: true,
+		count: func(c *ServerCounts) tally { return tally{bad: c.OnceErrors, total: c.Once} },
+	},
+	{
+		cause: CauseSlow, least: 0.05, most: 0.3, assumed: 0.1, excess: 0.4, pass: -1,
 		count: func(c *ServerCounts) tally { return tally{bad: c.Slow, total: c.Timed} },
 	},
 }
@@ -57,8 +74,8 @@
 	score    float64
 }
 
-// update computes the score from the server's tally as of now.
-func (e *evidence) update(now time.Time, current tally, usual, excess float64) {
+// update computes the score from the server's tally as of now; it is at least -floor.
+func (e *evidence) update(now time.Time, current tally, usual, excess, floor float64) {
 	factor := decayFactor(now.Sub(e.at))
 	e.at = now
 	// The tally shrinks when a peer's report expires.
@@ -67,10 +84,10 @@
 	bad := current.bad - e.baseline.bad
 	good := max(current.total-e.baseline.total-bad, 0)
 	e.score = bad*math.Log((usual+excess)/usual) + good*math.Log((1-usual-excess)/(1-usual))
-	if e.score < -evidenceFloor {
-		kept := evidenceFloor / -e.score
+	if e.score < -floor {
+		kept := floor / -e.score
 		e.baseline = tally{bad: current.bad - kept*bad, total: current.total - kept*(good+bad)}
-		e.score = -evidenceFloor
+		e.score = -floor
 	}
 }
 
@@ -82,7 +99,7 @@
 	rates := make([]float64, 0, len(others))
 	for _, other := range others {
 		if other.total > 0 {
-			rates = append(rates, other.rate(c.least))
+			rates = append(rates, other.rate(c.assumed))
 		}
 	}
 	if len(rates) == 0 {
@@ -92,7 +109,7 @@
 	return min(max(rates[(len(rates)-1)/2], c.least), c.most)
 }
 
-// rate returns the fraction of bad requests, with the usual rate for servers that have had few requests.
+// rate returns the fraction of bad requests, which tends to the usual rate for servers that have had few requests.
 func (t tally) rate(usual float64) float64 {
 	return (t.bad + priorRequests*usual) / (t.total + priorRequests)
 }
--- /dev/null
+++ b/internal/request/placement/health_fleet_test.go
@@ -0,0 +1,70 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/request/placement"
+)
+
+// fairShare is the number of requests a second that each server gets if all are healthy.
+const fairShare = plainRate / plainServers
+
+// meetsTarget reports whether the first server got less than half of its share from a second after the beginning of its fault on, and at least half of it
+// from two seconds after its end on.
+func (f *fleet) meetsTarget() bool {
+	faulty := count(f.sentFaulty[:], faultFrom+findTime, faultUntil)
+	after := count(f.sent[:], faultUntil+recoveryTime, faultUntil+2*recoveryTime)
+	return 2*faulty < fairShare*int((faultUntil-faultFrom-findTime).Seconds()) && 2*after >= fairShare*int(recoveryTime.Seconds())
+}
+
+// TestFaultyServerIsFound guards against faulty servers that each instance has to find by itself, and against recovered ones that stay unused: all
+// instances find a server within a second of its fault, and send to it again within two seconds of its recovery. The previous policy does not.
+func TestFaultyServerIsFound(t *testing.T) {
+	t.Parallel()
+	const seeds = 30
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			met := 0
+			lost, lostBefore := 0, 0
+			for seed := range uint64(seeds) {
+				f := newFleet(seed, true, plainServers, fault)
+				foundAt := time.Duration(-1)
+				f.run(plainReplayTime, func(at time.Duration) {
+					if at >= faultFrom && foundAt < 0 && f.countStates(start.Add(at), placement.Healthy) == 0 {
+						foundAt = at - faultFrom
+					}
+				})
+				if !f.meetsTarget() || foundAt < 0 || foundAt > findTime {
+					t.Errorf("seed %d: found after %v, got %v, in all %v", seed, foundAt, f.sentFaulty, f.sent)
+				}
+				previous := newFleet(seed, false, plainServers, fault)
+				previous.run(plainReplayTime, func(time.Duration) {})
+				if previous.meetsTarget() {
+					met++
+				}
+				lost += count(f.lostWrites[:], faultFrom, faultUntil)
+				lostBefore += count(previous.lostWrites[:], faultFrom, faultUntil)
+			}
+			t.Logf("%d of %d seeds met by the previous policy, writes lost %d, before %d", met, seeds, lost, lostBefore)
+			is.True(2*met < seeds)
+			is.True(lost <= lostBefore)
+			is.True(fault.breakRate == 0 || 2*lost <= lostBefore)
+		})
+	}
+}
+
+// countStates counts the instances for which the first server is in a state.
+func (f *fleet) countStates(now time.Time, state placement.HealthState) int {
+	count := 0
+	for instance := range fleetSize {
+		if f.state(now, instance).Health == state {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/request/placement/health_pick.go
+++ b/internal/request/placement/health_pick.go
@@ -19,7 +19,7 @@
 	// recentFailureCost is the cost, for a request that must not run twice, of a server whose connections broke or were refused; it decreases to 0
 	// in failureMemory.
 	recentFailureCost = 0.3
-	failureMemory     = 5 * time.Second
+	failureMemory     = 2 * time.Second
 	// noSuccessCost is the cost, for a request that must not run twice, of a server without a success within successMemory at any instance.
 	noSuccessCost = 0.15
 	successMemory = 2 * time.Second
@@ -137,7 +137,7 @@
 func (t *healthTracker) penalty(now time.Time, candidate *server, query Query) float64 {
 	health := t.servers[candidate.ID]
 	cost := overdueCost*float64(candidate.overdue(now)) + excessCost*max(health.failureRate-toleratedExcess, 0)
-	if health.state != Healthy {
+	if health.state == Suspect || health.state == Ejected {
 		cost += suspectCost
 	}
 	if query.AfterError {
@@ -195,7 +195,7 @@
 	if a.started {
 		endedAt = a.firstEventAt
 	}
-	shared.record(now, a.server.ID, result, a.sentAt, endedAt.Sub(a.sentAt))
+	shared.record(now, a, result, endedAt.Sub(a.sentAt))
 	if health := shared.servers[a.server.ID]; a.trial {
 		health.trials = max(health.trials-1, 0)
 	}
--- a/internal/request/placement/health_state.go
+++ b/internal/request/placement/health_state.go
@@ -37,7 +37,7 @@
 	// suspectTime is the shortest time for which a server is suspect.
 	suspectTime = 300 * time.Millisecond
 	// longTrial is the time after which a server without enough requests to decide passes its trial.
-	longTrial = 2 * time.Second
+	longTrial = time.Second
 )
 
 // HealthEvent is a change of a server's state.
@@ -70,6 +70,10 @@
 	cause     Cause
 	score     float64
 	instances int
+	// passed means that the results since the server is on trial are good enough, by the cause of its ejection.
+	passed bool
+	// suspected means that more than half of the instances suspect the server. Once most of them do, it gets too few requests for the others to find out.
+	suspected bool
 	// refused means that the server refuses connections.
 	refused bool
 	// confirmed means that enough instances have seen the cause to eject the server.
@@ -91,9 +95,9 @@
 		return Ejected
 	case OnTrial:
 		switch {
-		case f.failed.After(c.since), f.score >= suspectScore:
+		case f.failed.After(c.since), f.score >= failScore:
 			return Ejected
-		case f.score <= trialScore, now.Sub(c.since) >= longTrial:
+		case f.passed, now.Sub(c.since) >= longTrial:
 			return Healthy
 		default:
 			return OnTrial
@@ -102,7 +106,7 @@
 		switch {
 		case f.confirmed && (f.refused || f.score >= ejectScore):
 			return Ejected
-		case f.score >= suspectScore, f.unproven, c.state == Suspect && (f.score > 0 || now.Sub(c.since) < suspectTime):
+		case f.score >= suspectScore, f.suspected, f.unproven, c.state == Suspect && (f.score > clearedScore || now.Sub(c.since) < suspectTime):
 			return Suspect
 		default:
 			return Healthy
--- a/internal/request/placement/health_tracker.go
+++ b/internal/request/placement/health_tracker.go
@@ -48,17 +48,30 @@
 	brokenAt, refusedAt, trialAt time.Time
 	// failureRate is the fraction of requests that failed at the server, by all instances' counts.
 	failureRate float64
+	// suspected is set from suspectScore on until the score is at most clearedScore.
+	suspected bool
 	// memberAt is when the server was last a candidate.
 	memberAt time.Time
+	// reports are the peers' reports about the server, one of each peer that has one.
+	reports []serverReport
 }
 
-// peerHealth is the last report of a peer.
+// serverReport is what a peer has last reported about a server.
+type serverReport struct {
+	peer   *peerHealth
+	counts ServerCounts
+	times  healthTimes
+}
+
+// peerHealth is a peer that reports.
 type peerHealth struct {
 	reportedAt time.Time
 	// hash is the hash of the peer's process, for rendezvous hashing.
-	hash   uint64
-	counts map[ident.Endpoint]ServerCounts
-	times  map[ident.Endpoint]healthTimes
+	hash uint64
+	// factor is what remains of the peer's counts at the current evaluation, and claimed the number of servers at which the peer has had a failure and no
+	// success since.
+	factor  float64
+	claimed int
 }
 
 // healthTracker finds faulty servers by the results of all router instances.
@@ -77,6 +90,8 @@
 	evaluatedAt time.Time
 	// repeatableAt is when this instance last had a request that may run twice.
 	repeatableAt time.Time
+	// weights is memory of sum that is reused.
+	weights []float64
 	// events are the changes that were not read yet, the oldest first.
 	events []HealthEvent
 }
@@ -95,13 +110,16 @@
 }
 
 // record adds the result of a request of this instance; took is the time to its first event, or to its end.
-func (t *healthTracker) record(now time.Time, id ident.Endpoint, result Result, sentAt time.Time, took time.Duration) {
-	health := t.server(now, id)
+func (t *healthTracker) record(now time.Time, attempt *Attempt, result Result, took time.Duration) {
+	health := t.server(now, attempt.server.ID)
 	health.own, health.ownAt = health.own.decayed(now.Sub(health.ownAt)), now
+	if attempt.once && (result == Succeeded || result == Failed || result == ServerFailed) {
+		health.own.Once++
+	}
 	switch result {
 	case Succeeded:
 		health.own.Successes++
-		health.times.success = latest(health.times.success, sentAt)
+		health.times.success = latest(health.times.success, attempt.sentAt)
 		health.own.time(took, t.isSlow(took))
 		return
 	case Neutral:
@@ -116,6 +134,9 @@
 		health.times.broken = now
 	case ServerFailed:
 		health.own.Errors++
+		if attempt.once {
+			health.own.OnceErrors++
+		}
 	case Unreachable:
 		health.own.Refused++
 		health.times.refused = now
@@ -152,7 +173,9 @@
 	servers := make(map[ident.Endpoint]ServerCounts)
 	for _, member := range members[:min(len(members), maxHealthServers)] {
 		counts := t.counts(now, member)
-		t.server(now, member.ID).times.ages(now, &counts)
+		health := t.server(now, member.ID)
+		health.times.ages(now, &counts)
+		counts.Suspected = health.suspected
 		if counts != (ServerCounts{}) {
 			servers[member.ID] = counts
 		}
@@ -162,18 +185,60 @@
 
 // merge replaces a peer's report.
 func (t *healthTracker) merge(now time.Time, from ident.Process, report HealthReport) {
-	before := t.peers[from]
-	if before == nil {
+	peer := t.peers[from]
+	if peer == nil {
 		if len(t.peers) >= maxHealthReports {
 			return
 		}
-		before = &peerHealth{hash: xxhash.Sum64String(string(from))}
+		peer = &peerHealth{hash: xxhash.Sum64String(string(from))}
+		t.peers[from] = peer
+	}
+	peer.reportedAt = now
+	for id, health := range t.servers {
+		if _, found := report.Servers[id]; !found {
+			health.dropReports(func(report serverReport) bool { return report.peer == peer })
+		}
 	}
-	times := make(map[ident.Endpoint]healthTimes, len(report.Servers))
 	for id, counts := range report.Servers {
-		times[id] = timesOf(now, counts, before.times[id])
+		health := t.server(now, id)
+		index := slices.IndexFunc(health.reports, func(report serverReport) bool { return report.peer == peer })
+		if index < 0 {
+			index = len(health.reports)
+			health.reports = append(health.reports, serverReport{peer: peer})
+		}
+		known := &health.reports[index]
+		known.counts, known.times = counts, timesOf(now, counts, known.times)
+	}
+}
+
+func (h *serverHealth) dropReports(drop func(serverReport) bool) {
+	h.reports = slices.DeleteFunc(h.reports, drop)
+}
+
+// expire removes the peers whose reports have expired, and forgets servers that have not been candidates for a while.
+func (t *healthTracker) expire(now time.Time) {
+	expired := false
+	for process, peer := range t.peers {
+		peer.factor, peer.claimed = decayFactor(now.Sub(peer.reportedAt)), 0
+		if now.Sub(peer.reportedAt) > peerTTL {
+			expired = true
+			delete(t.peers, process)
+		}
+	}
+	for id, health := range t.servers {
+		if now.Sub(health.memberAt) > forgetAfter {
+			delete(t.servers, id)
+			continue
+		}
+		if expired {
+			health.dropReports(func(report serverReport) bool { return now.Sub(report.peer.reportedAt) > peerTTL })
+		}
+		for index := range health.reports {
+			if report := &health.reports[index]; report.times.claimsFailure() {
+				report.peer.claimed++
+			}
+		}
 	}
-	t.peers[from] = &peerHealth{reportedAt: now, hash: before.hash, counts: report.Servers, times: times}
 }
 
 // evaluate updates the states by all results.
@@ -182,66 +247,56 @@
 		return
 	}
 	t.evaluatedAt = now
-	for process, peer := range t.peers {
-		if now.Sub(peer.reportedAt) > peerTTL {
-			delete(t.peers, process)
-		}
-	}
+	t.expire(now)
 	contributions := make([][len(criteria)]int, len(members))
 	for index, member := range members {
 		t.server(now, member.ID).memberAt = now
 		contributions[index] = t.sum(now, member)
 	}
 	t.updateUsualTime(members)
-	doubtful := t.doubtfulPeers(members)
 	wanted := make([]HealthState, len(members))
 	for index, member := range members {
 		health := t.servers[member.ID]
 		t.score(now, members, index)
-		health.findings = t.find(now, member, contributions[index], doubtful)
+		health.findings = t.find(member, contributions[index], len(members))
 		wanted[index] = health.next(now, health.findings)
 	}
 	t.limitEjected(members, wanted)
 	for index, member := range members {
 		t.transition(now, member.ID, wanted[index])
 	}
-	for id, health := range t.servers {
-		if now.Sub(health.memberAt) > forgetAfter {
-			delete(t.servers, id)
-		}
-	}
 }
 
 // sum sets the total counts of a server, with those of each peer limited to the weight of one instance, and returns how many instances contribute to
 // each criterion.
 func (t *healthTracker) sum(now time.Time, member *server) [len(criteria)]int {
 	health := t.servers[member.ID]
-	counts := make([]ServerCounts, 0, len(t.peers)+1)
-	counts = append(counts, t.counts(now, member))
-	for _, peer := range t.peers {
-		if reported, found := peer.counts[member.ID]; found {
-			counts = append(counts, reported.decayed(now.Sub(peer.reportedAt)))
-		}
+	health.total = t.counts(now, member)
+	t.weights = append(t.weights[:0], health.total.weight())
+	for index := range health.reports {
+		report := &health.reports[index]
+		t.weights = append(t.weights, report.peer.factor*report.counts.weight())
 	}
-	weights := make([]float64, len(counts))
-	for index := range counts {
-		weights[index] = counts[index].weight()
-	}
-	slices.Sort(weights)
-	limit := max(minPeerWeight, maxPeerWeight*weights[len(weights)/2])
-	health.total = ServerCounts{}
+	slices.Sort(t.weights)
+	limit := max(minPeerWeight, maxPeerWeight*t.weights[len(t.weights)/2])
 	var contributions [len(criteria)]int
-	for index, each := range counts {
-		factor := 1.0
-		if weight := each.weight(); index > 0 && weight > limit {
-			factor = limit / weight
+	for number := range criteria {
+		if criteria[number].count(&health.total).bad >= contribution {
+			contributions[number]++
 		}
-		health.total.add(each, factor)
-		for number, criterion := range criteria {
-			if criterion.count(&each).bad >= contribution {
+	}
+	for index := range health.reports {
+		report := &health.reports[index]
+		factor := report.peer.factor
+		for number := range criteria {
+			if factor*criteria[number].count(&report.counts).bad >= contribution {
 				contributions[number]++
 			}
 		}
+		if weight := factor * report.counts.weight(); weight > limit {
+			factor *= limit / weight
+		}
+		health.total.add(report.counts, factor)
 	}
 	return contributions
 }
@@ -267,6 +322,10 @@
 	health := t.servers[members[index].ID]
 	failures := tally{bad: health.total.Failures + health.total.Errors, total: health.total.delivered()}
 	health.failureRate = failures.rate(criteria[0].least)
+	floor := evidenceFloor
+	if health.state == OnTrial {
+		floor = trialFloor
+	}
 	for number := range criteria {
 		c := &criteria[number]
 		others := make([]tally, 0, len(members))
@@ -275,7 +334,7 @@
 				others = append(others, c.count(&t.servers[member.ID].total))
 			}
 		}
-		health.evidences[number].update(now, c.count(&health.total), c.usualRate(others), c.excess)
+		health.evidences[number].update(now, c.count(&health.total), c.usualRate(others), c.excess, floor)
 	}
 }
 
--- a/internal/request/placement/health_trial.go
+++ b/internal/request/placement/health_trial.go
@@ -8,17 +8,17 @@
 	trialWait = 300 * time.Millisecond
 	// soleTrialTime is how long only one instance may make a trial that is due. It may have no request, or be gone: after that another instance may
 	// make it for each trialStep.
-	soleTrialTime = 500 * time.Millisecond
-	trialStep     = 150 * time.Millisecond
+	soleTrialTime = 250 * time.Millisecond
+	trialStep     = 100 * time.Millisecond
 	// repeatableMemory is how long after a request that may run twice this instance leaves trials to such requests.
 	repeatableMemory = 2 * time.Second
 )
 
-// mayTry reports whether this instance may send a trial to an ejected server. The instances take turns by rendezvous hashing over all that report
+// mayTry reports whether this instance may send a trial to a server that is ejected, or suspect and without a success since a failure. The instances take turns by rendezvous hashing over all that report
 // their results.
 func (t *healthTracker) mayTry(now time.Time, candidate *server) bool {
 	health := t.servers[candidate.ID]
-	if health.state != Ejected || health.trials > 0 {
+	if health.trials > 0 || health.state != Ejected && (health.state != Suspect || !health.findings.unproven) {
 		return false
 	}
 	due := now.Sub(latest(health.since, health.trialAt)) - trialWait
