--- a/internal/request/placement/health_evidence.go
+++ b/internal/request/placement/health_evidence.go
@@ -32,8 +32,9 @@
 // criterion is a kind of failure, and which of its rates are usual.
 type criterion struct {
 	cause Cause
-	// least and most bound the rate that counts as usual, assumed is used without other servers, and excess is how much above the usual rate a faulty
-	// server's is.
+	// least is the lowest rate that counts as usual, and assumed the rate without other servers; excess is how much above the usual rate a faulty
+	// server's is. Where the usual rate is above most, the cause lies outside the servers, and none counts as faulty. At most a third of all requests can
+	// take slowFactor times the mean.
 	least, most, assumed, excess float64
 	// onceOnly is set if only requests that must not run twice count, so that a trial says nothing about it. The criterion before it is that of the
 	// other requests.
@@ -46,21 +47,21 @@
 // criteria are the kinds of failures that are found by their rates.
 var criteria = [...]criterion{
 	{
-		cause: CauseBroken, least: 0.015, most: 0.1, assumed: 0.015, excess: 0.28, pass: -1,
+		cause: CauseBroken, least: 0.015, most: 0.3, assumed: 0.015, excess: 0.28, pass: -1,
 		count: func(c *ServerCounts) tally { return tally{bad: c.Failures, total: c.delivered()} },
 	},
 	{
-		cause: CauseErrors, least: 0.05, most: 0.3, assumed: 0.15, excess: 0.3, pass: -1.5,
+		cause: CauseErrors, least: 0.05, most: 0.5, assumed: 0.15, excess: 0.3, pass: -1.5,
 		count: func(c *ServerCounts) tally {
 			return tally{bad: max(c.Errors-c.OnceErrors, 0), total: max(c.delivered()-c.Once, 0)}
 		},
 	},
 	{
-		cause: CauseErrors, least: 0.02, most: 0.3, assumed: 0.02, excess: 0.3, onceOnly: true,
+		cause: CauseErrors, least: 0.02, most: 0.5, assumed: 0.02, excess: 0.3, onceOnly: true,
 		count: func(c *ServerCounts) tally { return tally{bad: c.OnceErrors, total: c.Once} },
 	},
 	{
-		cause: CauseSlow, least: 0.05, most: 0.3, assumed: 0.1, excess: 0.4, pass: -1,
+		cause: CauseSlow, least: 0.05, most: 0.4, assumed: 0.1, excess: 0.4, pass: -1,
 		count: func(c *ServerCounts) tally { return tally{bad: c.Slow, total: c.Timed} },
 	},
 }
@@ -94,8 +95,9 @@
 // reset leaves all results so far out of the score.
 func (e *evidence) reset(now time.Time, current tally) { *e = evidence{baseline: current, at: now} }
 
-// usualRate returns the rate of failures that is usual at the other servers: the lower median, so that one faulty server does not hide another.
-func (c *criterion) usualRate(others []tally) float64 {
+// usualRate returns the rate of failures that is usual at the other servers: the lower median, so that one faulty server does not hide another. It returns
+// false if that is so high that no server counts as faulty.
+func (c *criterion) usualRate(others []tally) (rate float64, found bool) {
 	rates := make([]float64, 0, len(others))
 	for _, other := range others {
 		if other.total > 0 {
@@ -103,10 +105,11 @@
 		}
 	}
 	if len(rates) == 0 {
-		return c.assumed
+		return c.assumed, true
 	}
 	slices.Sort(rates)
-	return min(max(rates[(len(rates)-1)/2], c.least), c.most)
+	usual := rates[(len(rates)-1)/2]
+	return max(usual, c.least), usual <= c.most
 }
 
 // rate returns the fraction of bad requests, which tends to the usual rate for servers that have had few requests.
--- a/internal/request/placement/health_failures_test.go
+++ b/internal/request/placement/health_failures_test.go
@@ -120,6 +120,23 @@
 	})
 }
 
+// TestAllServersFail guards against the ejection of servers for failures that all of them have alike, because the cause lies elsewhere.
+func TestAllServersFail(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	balancers := sharingInstances(3, plainServers)
+	for step := range 100 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		for _, server := range []ident.Endpoint{"e0", "e1", "e2"} {
+			result(balancers[step%3], now, server, read, placement.ServerFailed)
+		}
+		exchange(now, balancers)
+	}
+	for _, status := range balancers[0].ServerStatuses(start.Add(time.Second)) {
+		is.Equal(status.Health, placement.Healthy)
+	}
+}
+
 // TestTrialByOneInstance guards against trials by all instances at once: while one instance has requests to try the server with, only it does.
 func TestTrialByOneInstance(t *testing.T) {
 	t.Parallel()
--- a/internal/request/placement/health_tracker.go
+++ b/internal/request/placement/health_tracker.go
@@ -348,7 +348,12 @@
 				others = append(others, c.count(&t.servers[member.ID].total))
 			}
 		}
-		health.evidences[number].update(now, c.count(&health.total), c.usualRate(others), c.excess, floor)
+		current := c.count(&health.total)
+		if usual, found := c.usualRate(others); found {
+			health.evidences[number].update(now, current, usual, c.excess, floor)
+		} else {
+			health.evidences[number].reset(now, current)
+		}
 	}
 }
 
