--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -158,7 +158,11 @@
 	c.excludeServers(ready)
 	choice, found := balancer.Pick(now, c.query)
 	if !found {
-		c.refuse(unavailable(c.noServerReason(ready), c.serversRetryAfter()))
+		reason := c.noServerReason(ready)
+		if choice.Unproven > 0 {
+			reason = "connections to servers broke or were refused"
+		}
+		c.refuse(unavailable(reason, c.serversRetryAfter()))
 		return done
 	}
 	if refused := c.checkAdmission(now, choice); refused != nil {
--- a/internal/request/placement/health_failures_test.go
+++ b/internal/request/placement/health_failures_test.go
@@ -72,7 +72,7 @@
 		}
 		choice, found := balancers[0].Pick(now, placement.Query{Avoid: []ident.Endpoint{"e1", "e2"}})
 		is.True(!found) // It is refused as not run rather than sent there.
-		_ = choice
+		is.Equal(choice.Unproven, 1)
 		now = now.Add(time.Second)
 		result(balancers[1], now, "e0", read, placement.Succeeded)
 		exchange(now, balancers)
--- a/internal/request/placement/health_pick.go
+++ b/internal/request/placement/health_pick.go
@@ -208,3 +208,17 @@
 		health.trials = max(health.trials-1, 0)
 	}
 }
+
+// countUnproven counts the servers that may not get a request because no request has succeeded there since a failure.
+func (b *Balancer) countUnproven(query Query) int {
+	if !b.sharesHealth() || query.Engine || query.MayRunTwice {
+		return 0
+	}
+	count := 0
+	for _, member := range b.members {
+		if b.shared.servers[member.ID].findings.unproven {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -79,6 +79,9 @@
 	Usable, Free int
 	// Reserved reports whether the server is reserved for latency-sensitive streams.
 	Reserved bool
+	// Unproven counts the servers that were left out because no request has succeeded there since a connection broke or was refused. It is set only
+	// if no server was found.
+	Unproven int
 	// Trial reports whether the request tries an ejected server.
 	Trial bool
 	// FailedAt is when a connection to the server last broke or was refused at any instance that shares it; connections from before must not be used.
@@ -198,7 +201,7 @@
 		b.collectEligible(now, query)
 	}
 	if len(b.eligible) == 0 {
-		return Choice{}, false
+		return Choice{Unproven: b.countUnproven(query)}, false
 	}
 	if query.Engine {
 		b.reservation.mark(now, b.eligible, b.speed.latencySensitive(query.MaxPause), &b.speed)
