--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -63,8 +63,8 @@
 	// AtMostOnce means that the request must not run twice. It gets a new connection or one that was idle for at most
 	// atMostOnceIdleTimeout.
 	AtMostOnce bool
-	// IdleSince is the time from which on a connection must have been idle to be reused; older ones are closed, because the server is known to have
-	// broken or refused connections since. Zero means any time.
+	// IdleSince is the earliest time at which a connection may have become idle to be reused. Those that became idle before are closed, because the
+	// server is known to have broken or refused connections since. Zero means any time.
 	IdleSince time.Time
 }
 
--- a/internal/request/placement/health_pick.go
+++ b/internal/request/placement/health_pick.go
@@ -58,6 +58,10 @@
 	if b.shared == nil {
 		b.shared = newHealthTracker()
 	}
+	if !b.sharesHealth() {
+		// Nothing else removes what has expired until the service gets requests.
+		b.shared.expire(now)
+	}
 	b.shared.merge(now, from, report)
 }
 
--- a/internal/request/placement/health_state.go
+++ b/internal/request/placement/health_state.go
@@ -36,7 +36,7 @@
 const (
 	// suspectTime is the shortest time for which a server is suspect.
 	suspectTime = 300 * time.Millisecond
-	// longTrial is the time after which a server without enough requests to decide passes its trial.
+	// longTrial is the time after which a server passes its trial although it got too few requests to decide, unless its score is above clearedScore.
 	longTrial = time.Second
 )
 
@@ -60,8 +60,6 @@
 	// instances counts the instances whose results show the cause.
 	instances int
 	since     time.Time
-	// ejectedAt is when the server was last ejected.
-	ejectedAt time.Time
 }
 
 // findings are what all instances' results say about a server now.
@@ -97,7 +95,7 @@
 		switch {
 		case f.failed.After(c.since), f.score >= failScore:
 			return Ejected
-		case f.passed, now.Sub(c.since) >= longTrial:
+		case f.passed, now.Sub(c.since) >= longTrial && f.score <= clearedScore:
 			return Healthy
 		default:
 			return OnTrial
--- a/internal/request/placement/health_tracker.go
+++ b/internal/request/placement/health_tracker.go
@@ -373,10 +373,7 @@
 	}
 	health.state, health.since = state, now
 	switch state {
-	case Ejected:
-		health.ejectedAt = now
-		t.resetEvidence(now, health)
-	case OnTrial:
+	case Ejected, OnTrial:
 		t.resetEvidence(now, health)
 	case Healthy:
 		health.cause, health.instances = CauseNone, 0
