--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -28,6 +28,12 @@
 	stream          servermodel.Stream
 	started         bool
 	ended           bool
+	// plain means that the request went to a plain service, and trial that it tries an ejected server.
+	plain, trial bool
+	// once means that the request must not run twice.
+	once bool
+	// firstEventAt is when the first event arrived; zero before.
+	firstEventAt time.Time
 }
 
 // StartAttempt records that a request is sent to the chosen server.
@@ -39,7 +45,9 @@
 		balancer: b, server: server, sentAt: now, expected: choice.TimeToFirstEvent, load: Load{Active: 1},
 		noBacklog: choice.Load.Prefill.Total() == 0, unsharedTokens: query.Prompt - sharedTokens(query.Parts),
 		serverStartedMS: server.StartedUnixMS,
+		plain:           !query.Engine, trial: choice.Trial, once: !query.MayRunTwice,
 	}
+	b.startTrial(attempt)
 	if query.Engine {
 		attempt.ahead = choice.Load.Prefill.upTo(query.PriorityLevel)
 		attempt.priority = query.PriorityLevel
@@ -62,7 +70,7 @@
 	if a.started || a.ended {
 		return
 	}
-	a.started = true
+	a.started, a.firstEventAt = true, now
 	a.server.local.Prefill[a.priority] -= a.load.Prefill[a.priority]
 	a.load.Prefill = PrefillTokens{}
 	switch {
@@ -87,6 +95,8 @@
 	Overloaded
 	// Unreachable is a failed connection attempt.
 	Unreachable
+	// ServerFailed is a complete response with a server's error.
+	ServerFailed
 )
 
 // End removes the request from the server's load and records its result. Further calls have no effect.
@@ -99,5 +109,5 @@
 	a.ended = true
 	delete(a.server.attempts, a)
 	a.server.local.subtract(a.load)
-	a.server.health.record(now, result)
+	a.recordHealth(now, result)
 }
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -21,6 +21,11 @@
 	// Speed is the server's estimated speed, and HasSpeed whether the service has a server model.
 	Speed    servermodel.Figures
 	HasSpeed bool
+	// Health is the state by the results of all instances, Cause why it is not healthy, and Instances how many instances' results show it. They are
+	// empty for services that don't share health.
+	Health    HealthState
+	Cause     Cause
+	Instances int
 }
 
 // ServerStatuses returns the view of each server that accepts new requests, in no particular order.
@@ -29,6 +34,9 @@
 	defer b.mu.Unlock()
 	b.expirePeers(now)
 	reportAge := b.meanReportAge(now)
+	if b.sharesHealth() {
+		b.shared.evaluate(now, b.members)
+	}
 	statuses := make([]ServerStatus, 0, len(b.members))
 	for _, candidate := range b.members {
 		total := candidate.remote
@@ -42,6 +50,10 @@
 		if candidate.speed != nil {
 			status.Speed, status.HasSpeed = candidate.speed.Figures(now), true
 		}
+		if b.sharesHealth() {
+			health := b.shared.servers[candidate.ID]
+			status.Health, status.Cause, status.Instances = health.state, health.cause, health.instances
+		}
 		statuses = append(statuses, status)
 	}
 	return statuses
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -66,6 +66,8 @@
 	Speeds map[ident.Pool]servermodel.Report `cbor:"13,keyasint,omitempty"`
 	// ConfigAgeMS is the age of the sender's configuration, at least 1; 0 if it has none.
 	ConfigAgeMS int64 `cbor:"17,keyasint,omitempty"`
+	// Health is what the sender knows from its own requests about the health of the plain servers of load-aware services, by service.
+	Health map[ident.Pool]placement.HealthReport `cbor:"15,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -137,6 +139,7 @@
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
 		g.mergeSpeeds(now, received)
+		g.mergeHealth(now, received)
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
@@ -214,6 +217,7 @@
 	for ctx.Err() == nil {
 		peers := g.router.peers.Peers()
 		interval := min(max(minGossipInterval, time.Duration(len(peers))*gossipIntervalPerPeer), maxGossipInterval)
+		g.router.recordHealthEvents()
 		clock.Sleep(ctx, interval, nil)
 		if len(peers) == 0 {
 			continue
@@ -236,7 +240,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(),
+		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()),
 	}
 	if outgoing.Version > 0 {
 		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -35,6 +35,7 @@
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
 	falseLoads           *prometheus.CounterVec
+	healthChanges        *prometheus.CounterVec
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -94,9 +95,11 @@
 			Name: "vanillapond_router_log_lines_dropped_total", Help: "Log lines that were not written, by event.",
 		}, []string{"event"}),
 	}
+	m.healthChanges = newHealthChanges()
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes, m.falseLoads)
-	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r})
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents,
+		m.quarantineEvents, m.crashes, m.falseLoads, m.healthChanges)
+	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -221,6 +224,9 @@
 			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
 			"quiet", attempt.Choice.Reserved,
 			"paced", attempt.Choice.Load.LatencySensitive, "uncached", int64(attempt.Choice.Uncached))
+		if attempt.Choice.Trial {
+			pairs = append(pairs, "trial", true)
+		}
 		if attempt.Cause != nil {
 			broken = true
 			pairs = append(pairs, "err", attempt.Cause)
