Server model: the service's lines forget their first seconds sooner

Cause: samples of the first seconds are normalized by speeds that are not known yet, and stayed half as long as the model was old. Change: a fifth of the model's age up to 5 s, then 20 s.

--- a/internal/request/servermodel/line.go
+++ b/internal/request/servermodel/line.go
@@ -21,10 +21,11 @@
 	// curveTau is the time constant of the service's curves in seconds. The shape is a property of the engines and the model, so it changes
 	// only with a release.
 	curveTau = 20.0
-	// While the first samples are not older, the time constant is youngTau of their age, and minCurveTau at least: they were normalized by speeds
-	// of servers that were not known yet.
-	youngTau    = 0.5
+	// Up to the age youngAge of the first samples, in seconds, the time constant is youngTau of their age, and minCurveTau at least: they were
+	// normalized by speeds of servers that were not known yet.
+	youngTau    = 0.2
 	minCurveTau = 0.3
+	youngAge    = 5.0
 	// priorWeight is the weight of the prior in a fit, in samples.
 	priorWeight = 0.25
 	// minFixed is the smallest fixed part in milliseconds, and minPerUnit the smallest growth, relative to the prior's.
@@ -84,7 +85,10 @@
 	if c.since == 0 {
 		c.since, c.decayedTo = seconds, seconds
 	}
-	timeConstant := min(max(youngTau*(seconds-c.since), minCurveTau), curveTau)
+	timeConstant := curveTau
+	if age := seconds - c.since; age < youngAge {
+		timeConstant = max(youngTau*age, minCurveTau)
+	}
 	if factor := math.Exp(-(seconds - c.decayedTo) / timeConstant); factor < 1 {
 		for index := range c.buckets {
 			c.buckets[index].scale(factor)
