Requests of load-aware services wait for capacity in a bounded queue

Cause: a request whose queue delay exceeded three quarters of its objective was refused even if a server would have been free soon after, and the callers of a burst all returned after 300 ms with random jitter, so that those refused first were not the first to be served. Services that are not load-aware take the same path as before. Result: tests of internal/request and internal/role/router pass with -race, but TestEndlessResponses/error_body_without_length, which ended after 1.53 s instead of 1.5 s once at a load average of 15 and passed in a run of its own.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -34,6 +34,8 @@
 	Waited time.Duration
 	// LowerPriorityActive reports whether requests of lower priority are in flight.
 	LowerPriorityActive bool
+	// Repeated means that the same request was decided on before, so that it is not counted again.
+	Repeated bool
 	// Random is a random number between 0 and 1, for jitter.
 	Random float64
 }
@@ -47,6 +49,8 @@
 	Blocked bool
 	// RetryAfter is the time to retry after; 0 if admitted.
 	RetryAfter time.Duration
+	// Excess is by how much the queue delay must fall until the request is admitted; 0 if it is admitted or blocked.
+	Excess time.Duration
 }
 
 // Decide refuses a request that the queue delay would make late, unless requests of lower priority are in flight and it
@@ -58,15 +62,18 @@
 // so that large requests are not refused more often. Prompts of lower priority do not count towards the queue delay, so
 // that no request is refused because of one with lower priority.
 func Decide(request Request) Decision {
-	wait := request.QueueDelay + request.Waited
-	switch {
-	case request.Objective <= 0 || wait <= scaled(lateFraction, request.Objective):
+	wait, limit := request.QueueDelay+request.Waited, scaled(lateFraction, request.Objective)
+	if request.Objective <= 0 || wait <= limit {
 		return Decision{Admit: true}
-	case request.LowerPriorityActive && wait <= scaled(lowerPriorityLateFraction, request.Objective):
-		return Decision{Admit: true, LikelyLate: true}
+	}
+	if request.LowerPriorityActive {
+		if limit = scaled(lowerPriorityLateFraction, request.Objective); wait <= limit {
+			return Decision{Admit: true, LikelyLate: true}
+		}
 	}
 	return Decision{
 		LikelyLate: true, RetryAfter: withJitter(request.QueueDelay-scaled(retryFraction, request.Objective), request.Random),
+		Excess: wait - limit,
 	}
 }
 
--- a/internal/request/admission/controller.go
+++ b/internal/request/admission/controller.go
@@ -66,7 +66,9 @@
 	defer c.mu.Unlock()
 	c.decay(now)
 	counts := &c.counts[priority]
-	counts.received++
+	if !request.Repeated {
+		counts.received++
+	}
 	request.LowerPriorityActive = now.Sub(latest(c.lastAdmitted[priority+1:])) < activeDuration
 	decision := Decide(request)
 	if decision.LikelyLate {
--- /dev/null
+++ b/internal/request/forward/authorize.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"vanillapond/internal/version/routes"
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+)
+
+// defaultTimeout is the timeout of requests without a deadline header.
+const defaultTimeout = 30 * time.Second
+
+func (c *call) checkHeaders(limits platform.Limits) *refusal {
+	size := len(c.request.RequestURI) + len(c.request.Host)
+	for name, values := range c.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	if limits.HeaderBytes > 0 && size > limits.HeaderBytes {
+		return deny(http.StatusRequestHeaderFieldsTooLarge, "head is larger than allowed")
+	}
+	key, ok := platform.Key(c.request.Header)
+	if !ok {
+		return deny(http.StatusBadRequest, "more than one key or a malformed one")
+	}
+	c.key = key
+	return nil
+}
+
+// readBody reads the complete body into memory, so that the request can be retried.
+func (c *call) readBody(limits platform.Limits) *refusal {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if c.request.ContentLength > limit {
+		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	// A body that arrives after the deadline is of no use. The read deadline is cleared afterwards, because net/http then reads
+	// from the connection to detect that the caller disconnects.
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout()))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	var err error
+	if c.request.ContentLength > 0 {
+		c.body = make([]byte, c.request.ContentLength)
+		_, err = io.ReadFull(c.request.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	}
+	if err == nil {
+		// net/http detects that the caller disconnects only after the body was read to EOF.
+		_, err = c.request.Body.Read(make([]byte, 1))
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+	}
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
+	}
+	return deny(http.StatusBadRequest, "body is not whole")
+}
+
+// defaultMaxBody bounds the body in bytes if the configuration sets no limit.
+const defaultMaxBody = 8 << 20
+
+// authorize determines the route and the customer from the newest configuration. It runs again before each attempt, because
+// the configuration may have changed since.
+func (c *call) authorize() *refusal {
+	config := c.forwarder.config
+	age := config.Current.Age(config.Now())
+	table := config.Current.Table()
+	route := table.Match(c.request.Host, c.request.URL.EscapedPath())
+	if route == nil {
+		if age > config.MaxDenyAge() {
+			return unavailable("route is unknown and the configuration is old", time.Second)
+		}
+		return deny(http.StatusNotFound, "no such route")
+	}
+	if c.route == nil || route.Name != c.route.Name || !routesTo(route, c.service) {
+		c.service = routes.Pick(route)
+	}
+	c.route = route
+	c.customer = nil
+	if !table.NeedsKey(route) {
+		return nil
+	}
+	customer := table.Customer(c.key)
+	switch {
+	case customer == nil && age > config.MaxDenyAge(), customer != nil && age > config.MaxKeyAge():
+		return unavailable("keys cannot be checked while the configuration is old", time.Second)
+	case customer == nil:
+		c.record.Key = routes.Digest(c.key)
+		c.record.Withdrawal, _ = table.Withdrawal(c.record.Key)
+		return deny(http.StatusUnauthorized, "no such key")
+	}
+	c.customer = customer
+	return nil
+}
+
+// routesTo reports whether the route sends requests to the service.
+func routesTo(route *platform.Route, service ident.Pool) bool {
+	if len(route.Split) == 0 {
+		return route.Service == service
+	}
+	for _, share := range route.Split {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// callerTimeout returns how long the caller waits for the response, from the arrival of the request.
+func (c *call) callerTimeout() time.Duration {
+	if timeout, stated := platform.Deadline(c.request.Header); stated {
+		return timeout
+	}
+	return defaultTimeout
+}
+
+// setDeadline sets the deadline from the caller's timeout and the route's.
+func (c *call) setDeadline() {
+	remaining := c.callerTimeout()
+	if timeout := c.route.Timeout.Duration(); timeout > 0 {
+		remaining = min(remaining, timeout)
+	}
+	c.deadline = c.arrived.Add(remaining)
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -1,11 +1,10 @@
-// Package forward is the router's HTTP handler: it authorizes a caller's request, sends it to a server of the route's service,
-// retries it where that is safe, and relays the response.
+// Package forward is the router's HTTP handler. A request passes these stages, each in a file of its own: it is authorized (authorize.go), admitted
+// or made to wait (wait.go), placed on a server (place.go), sent (send.go, which also retries it where that is safe), and its response is relayed
+// (relay.go, stream.go).
 package forward
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,19 +16,15 @@
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
+	"vanillapond/internal/request/waiting"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
 
-// Request timeouts.
-const (
-	// defaultTimeout is the timeout of requests without a deadline header.
-	defaultTimeout = 30 * time.Second
-	// minRemaining is the least remaining time with which a request is still sent to a server: a round trip within a region
-	// and a short execution.
-	minRemaining = 10 * time.Millisecond
-)
+// minRemaining is the least remaining time with which a request is still sent to a server: a round trip within a region
+// and a short execution.
+const minRemaining = 10 * time.Millisecond
 
 // UsageCounter counts, per customer, the requests that started to run.
 type UsageCounter interface {
@@ -64,6 +59,8 @@
 	Balancer func(ident.Pool) *placement.Balancer
 	// Admission returns the priority admission control of a service's requests.
 	Admission func(ident.Pool) *admission.Controller
+	// Waiting returns the queue of a load-aware service; nil means one queue for all services.
+	Waiting func(ident.Pool) *waiting.Controller
 	// Budget returns the retry budget of a service.
 	Budget   func(ident.Pool) *retry.Budget
 	Suspects Suspects
@@ -104,6 +101,10 @@
 	if config.HasCrashed == nil {
 		config.HasCrashed = func(*servers.Server, error) bool { return false }
 	}
+	if config.Waiting == nil {
+		queue := &waiting.Controller{}
+		config.Waiting = func(ident.Pool) *waiting.Controller { return queue }
+	}
 	for _, report := range []*func(ident.Endpoint, error){&config.OnInvalidPause, &config.OnInvalidLimit, &config.OnInvalidLoad} {
 		if *report == nil {
 			*report = func(ident.Endpoint, error) {}
@@ -146,6 +147,10 @@
 	Withdrawal routes.Withdrawal
 	// Resumes is the id of the caller's request that began the stream which this one takes up; empty if it takes up none.
 	Resumes string
+	// Waited is how long the request waited for capacity, and WaitOutcome why it stopped waiting, or why it did not wait; empty if it was sent, or
+	// refused for another reason, at once.
+	Waited      time.Duration
+	WaitOutcome waiting.Outcome
 	// LongestPause is the longest time between two events of a stream, and MaxPause the route's limit for it.
 	LongestPause, MaxPause time.Duration
 }
@@ -187,6 +192,7 @@
 	// trial is set for a request that is let through although one of its parts is quarantined.
 	trial  bool
 	record Record
+	wait   waitState
 	// headWritten is set once the status line and headers of a response were written to the caller.
 	headWritten bool
 	// mayHaveRun is set once a server may have run the request.
@@ -299,128 +305,6 @@
 	return c.admitParts()
 }
 
-func (c *call) checkHeaders(limits platform.Limits) *refusal {
-	size := len(c.request.RequestURI) + len(c.request.Host)
-	for name, values := range c.request.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
-		}
-	}
-	if limits.HeaderBytes > 0 && size > limits.HeaderBytes {
-		return deny(http.StatusRequestHeaderFieldsTooLarge, "head is larger than allowed")
-	}
-	key, ok := platform.Key(c.request.Header)
-	if !ok {
-		return deny(http.StatusBadRequest, "more than one key or a malformed one")
-	}
-	c.key = key
-	return nil
-}
-
-// readBody reads the complete body into memory, so that the request can be retried.
-func (c *call) readBody(limits platform.Limits) *refusal {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if c.request.ContentLength > limit {
-		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
-	}
-	if c.request.ContentLength == 0 {
-		return nil
-	}
-	// A body that arrives after the deadline is of no use. The read deadline is cleared afterwards, because net/http then reads
-	// from the connection to detect that the caller disconnects.
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout()))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	var err error
-	if c.request.ContentLength > 0 {
-		c.body = make([]byte, c.request.ContentLength)
-		_, err = io.ReadFull(c.request.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
-	}
-	if err == nil {
-		// net/http detects that the caller disconnects only after the body was read to EOF.
-		_, err = c.request.Body.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-	}
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
-	}
-	return deny(http.StatusBadRequest, "body is not whole")
-}
-
-// defaultMaxBody bounds the body in bytes if the configuration sets no limit.
-const defaultMaxBody = 8 << 20
-
-// authorize determines the route and the customer from the newest configuration. It runs again before each attempt, because
-// the configuration may have changed since.
-func (c *call) authorize() *refusal {
-	config := c.forwarder.config
-	age := config.Current.Age(config.Now())
-	table := config.Current.Table()
-	route := table.Match(c.request.Host, c.request.URL.EscapedPath())
-	if route == nil {
-		if age > config.MaxDenyAge() {
-			return unavailable("route is unknown and the configuration is old", time.Second)
-		}
-		return deny(http.StatusNotFound, "no such route")
-	}
-	if c.route == nil || route.Name != c.route.Name || !routesTo(route, c.service) {
-		c.service = routes.Pick(route)
-	}
-	c.route = route
-	c.customer = nil
-	if !table.NeedsKey(route) {
-		return nil
-	}
-	customer := table.Customer(c.key)
-	switch {
-	case customer == nil && age > config.MaxDenyAge(), customer != nil && age > config.MaxKeyAge():
-		return unavailable("keys cannot be checked while the configuration is old", time.Second)
-	case customer == nil:
-		c.record.Key = routes.Digest(c.key)
-		c.record.Withdrawal, _ = table.Withdrawal(c.record.Key)
-		return deny(http.StatusUnauthorized, "no such key")
-	}
-	c.customer = customer
-	return nil
-}
-
-// routesTo reports whether the route sends requests to the service.
-func routesTo(route *platform.Route, service ident.Pool) bool {
-	if len(route.Split) == 0 {
-		return route.Service == service
-	}
-	for _, share := range route.Split {
-		if share.Service == service && share.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// callerTimeout returns how long the caller waits for the response, from the arrival of the request.
-func (c *call) callerTimeout() time.Duration {
-	if timeout, stated := platform.Deadline(c.request.Header); stated {
-		return timeout
-	}
-	return defaultTimeout
-}
-
-// setDeadline sets the deadline from the caller's timeout and the route's.
-func (c *call) setDeadline() {
-	remaining := c.callerTimeout()
-	if timeout := c.route.Timeout.Duration(); timeout > 0 {
-		remaining = min(remaining, timeout)
-	}
-	c.deadline = c.arrived.Add(remaining)
-}
-
 // prepareQuery computes the request's digest and the properties by which a server is picked.
 func (c *call) prepareQuery() {
 	c.query = placement.Query{Objective: c.route.Objective.Duration(), MaxPause: c.route.MaxPause.Duration()}
--- /dev/null
+++ b/internal/request/forward/place.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"time"
+
+	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/request/placement"
+)
+
+// placed is a server that was picked for the request, where its load is counted already.
+type placed struct {
+	at      time.Time
+	choice  placement.Choice
+	server  *servers.Server
+	attempt *placement.Attempt
+	// hasTurn means that the request has a turn at a server with a rate limit.
+	hasTurn bool
+}
+
+// place picks the best server, has admission decide, and counts the request in the server's load. It returns neither a server nor a refusal if the
+// server that it picked cannot be used any more.
+func (c *call) place(now time.Time) (*placed, *refusal) {
+	balancer := c.forwarder.config.Balancer(c.service)
+	ready, generation := c.forwarder.config.Servers.Ready(c.service)
+	table := c.forwarder.config.Current.Table()
+	balancer.Configure(settings(table, c.service))
+	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
+		return c.candidates(ready, table)
+	})
+	c.excludeServers(ready)
+	choice, found := balancer.Pick(now, c.query)
+	if !found {
+		refused := lacksCapacity(c.noServerReason(ready), c.serversRetryAfter())
+		refused.mayWait, refused.capacityIn = len(ready) > 0, c.forwarder.config.Servers.TurnInterval(c.service)
+		return nil, refused
+	}
+	if refused := c.checkAdmission(now, choice); refused != nil {
+		refused.choice = &choice
+		return nil, refused
+	}
+	server := findServer(ready, choice.Server)
+	if server == nil || !c.forwarder.config.Servers.Accepts(server) || c.begun && server.Software != c.software {
+		// The server was removed or stopped accepting requests since the list was read.
+		return nil, nil
+	}
+	hasTurn, ok := c.forwarder.config.Servers.TakeTurn(server.ID)
+	c.query.Avoid = append(c.query.Avoid, choice.Server)
+	if !ok {
+		// Another request of this instance took the turn.
+		return nil, nil
+	}
+	return &placed{at: now, choice: choice, server: server, attempt: balancer.StartAttempt(now, c.query, choice), hasTurn: hasTurn}, nil
+}
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"vanillapond/internal/request/placement"
 	"vanillapond/platform"
 )
 
@@ -34,6 +35,13 @@
 	reason string
 	// retryAfter is the time after which a retry may succeed; 0 leaves Retry-After out.
 	retryAfter time.Duration
+	// lacksCapacity means that the request was refused for lack of capacity. retryAfter is then the expected time until there is some.
+	lacksCapacity bool
+	// mayWait means that the request may wait instead, and capacityIn is the shortest time after which it may be admitted, 0 if that is not known.
+	mayWait    bool
+	capacityIn time.Duration
+	// choice is the server that was picked before the request was refused, nil if there was none.
+	choice *placement.Choice
 }
 
 // unavailable returns a refusal with status 503, which promises that the request did not run and never will.
@@ -41,11 +49,21 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
 
+// lacksCapacity returns a refusal with status 503 for lack of capacity, which is expected after the given time.
+func lacksCapacity(reason string, expected time.Duration) *refusal {
+	refused := unavailable(reason, expected)
+	refused.lacksCapacity = true
+	return refused
+}
+
 func deny(status int, reason string) *refusal { return &refusal{status: status, reason: reason} }
 
 // refuse ends the request with an error response, or without one if a response has begun or the caller has disconnected.
 func (c *call) refuse(refused *refusal) {
 	c.record.Reason = refused.reason
+	if refused.choice != nil {
+		c.record.Attempts = append(c.record.Attempts, Attempt{Choice: *refused.choice, Outcome: Unsent})
+	}
 	if c.headWritten {
 		c.record.Outcome = outcomeTruncated
 		return
@@ -68,6 +86,9 @@
 	}
 	c.record.Status = refused.status
 	header := c.writer.Header()
+	if refused.lacksCapacity && refused.retryAfter > 0 {
+		refused.retryAfter = c.returnAfter(refused)
+	}
 	if refused.retryAfter > 0 {
 		const digits = 2
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', digits, 64))
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -134,51 +133,31 @@
 	case time.Until(c.deadline) < minRemaining:
 		c.refuse(c.timedOut())
 	case result == refusedByServer:
-		c.refuse(unavailable("servers are full", c.serversRetryAfter()))
+		c.refuse(lacksCapacity("servers are full", c.serversRetryAfter()))
 	default:
 		c.refuse(&refusal{status: http.StatusBadGateway, reason: "server gave no whole answer"})
 	}
 }
 
-// attempt picks the best server, sends the request to it and relays its response.
+// attempt has the request placed on a server, sends it there and relays the response.
 func (c *call) attempt() attemptResult {
-	now := time.Now()
-	balancer := c.forwarder.config.Balancer(c.service)
-	ready, generation := c.forwarder.config.Servers.Ready(c.service)
-	table := c.forwarder.config.Current.Table()
-	balancer.Configure(settings(table, c.service))
-	balancer.Update(placement.Generation{Servers: generation, Version: table.Version()}, func() []placement.Candidate {
-		return c.candidates(ready, table)
-	})
-	c.excludeServers(ready)
-	choice, found := balancer.Pick(now, c.query)
-	if !found {
-		c.refuse(unavailable(c.noServerReason(ready), c.serversRetryAfter()))
-		return done
-	}
-	if refused := c.checkAdmission(now, choice); refused != nil {
-		c.record.Attempts = append(c.record.Attempts, Attempt{Choice: choice, Outcome: Unsent})
+	placed, refused := c.admitOrWait(time.Now())
+	if refused != nil {
 		c.refuse(refused)
 		return done
 	}
-	server := findServer(ready, choice.Server)
-	if server == nil || !c.forwarder.config.Servers.Accepts(server) || c.begun && server.Software != c.software {
-		// The server was removed or stopped accepting requests since the list was read.
+	if placed == nil {
 		return undelivered
 	}
-	hasTurn, ok := c.forwarder.config.Servers.TakeTurn(server.ID)
-	if !ok {
-		// Another request of this instance took the turn.
-		c.query.Avoid = append(c.query.Avoid, choice.Server)
-		return undelivered
+	c.breakCause, c.attemptAt, c.firstEventAt = nil, placed.at, time.Time{}
+	result, serverResult := c.exchange(placed.server, placed.attempt, placed.hasTurn)
+	now := time.Now()
+	placed.attempt.End(now, serverResult)
+	if queue := c.queue(); queue != nil {
+		queue.AttemptEnded(now, serverResult == placement.Succeeded)
 	}
-	c.query.Avoid = append(c.query.Avoid, choice.Server)
-	attempt := balancer.StartAttempt(now, c.query, choice)
-	c.breakCause, c.attemptAt, c.firstEventAt = nil, now, time.Time{}
-	result, serverResult := c.exchange(server, attempt, hasTurn)
-	attempt.End(time.Now(), serverResult)
 	c.record.Attempts = append(c.record.Attempts, Attempt{
-		Choice: choice, Software: server.Software, Outcome: attemptResultNames[result], Duration: time.Since(now), Cause: c.breakCause,
+		Choice: placed.choice, Software: placed.server.Software, Outcome: attemptResultNames[result], Duration: now.Sub(placed.at), Cause: c.breakCause,
 	})
 	return result
 }
@@ -190,16 +169,19 @@
 		return nil
 	}
 	decision := c.forwarder.config.Admission(c.service).Decide(now, admission.PriorityLevel(c.query.PriorityLevel), admission.Request{
-		QueueDelay: choice.QueueDelay, Objective: c.query.Objective, Waited: now.Sub(c.arrived),
-		Random: rand.Float64(), //nolint:gosec // Only spreads load.
+		QueueDelay: choice.QueueDelay, Objective: c.query.Objective, Waited: c.beforeWait(now).Sub(c.arrived),
+		Repeated: c.wait.decided, Random: c.retryJitter(),
 	})
+	c.wait.decided = c.queue() != nil
 	switch {
 	case decision.Admit:
 		return nil
 	case decision.Blocked:
-		return unavailable("more urgent requests come first", decision.RetryAfter)
+		return lacksCapacity("more urgent requests come first", decision.RetryAfter)
 	default:
-		return unavailable("servers are too busy", decision.RetryAfter)
+		refused := lacksCapacity("servers are too busy", decision.RetryAfter)
+		refused.mayWait, refused.capacityIn = true, decision.Excess
+		return refused
 	}
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -85,6 +85,7 @@
 			c.beginStream(r.server)
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
+			c.recordCapacityEvent(now)
 			c.countStart()
 		} else {
 			r.attempt.Event(now)
--- /dev/null
+++ b/internal/request/waiting/controller.go
@@ -0,0 +1,209 @@
+package waiting
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Controller queues the requests of one service and decides after which time the refused ones return. The zero value is ready for use. It is safe for
+// concurrent use.
+type Controller struct {
+	mu       sync.Mutex
+	queue    Queue
+	schedule schedule
+	refusals refusals
+	// tickets are those of the waiting requests; guarded by mu.
+	tickets map[*Entry]*Ticket
+	// stopped is set once the instance stops; guarded by mu.
+	stopped bool
+}
+
+// Ticket is the place of a waiting request. The goroutine of the request calls Next until the request stops waiting, and then Take or Leave.
+type Ticket struct {
+	controller *Controller
+	entry      *Entry
+	// turn receives a value when the request has the turn, and recheck when it has to be checked again; both have a buffer of one.
+	turn, recheck chan struct{}
+	// ended is closed when the request must not wait any longer; outcome is set before and says why.
+	ended   chan struct{}
+	outcome Outcome
+}
+
+// Standing returns how a request that arrives now follows an earlier refusal.
+func (c *Controller) Standing(now time.Time, request Request) Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals.standing(now, request)
+}
+
+// IsFirst reports whether a request that arrives now may be sent before all waiting ones.
+func (c *Controller) IsFirst(request Request, standing Standing) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.IsFirst(request, standing)
+}
+
+// Len returns the number of waiting requests.
+func (c *Controller) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.Len()
+}
+
+// Join adds a request to the queue. capacityIn is the shortest time in which a server may become able to start it, 0 if that is not known. Without a
+// ticket, the outcome says why the request must not wait.
+func (c *Controller) Join(now time.Time, request Request, standing Standing, capacityIn time.Duration) (*Ticket, Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return nil, Stopping
+	}
+	entry, displaced, outcome := c.queue.Join(now, request, standing, capacityIn)
+	if entry == nil {
+		return nil, outcome
+	}
+	for _, each := range displaced {
+		c.end(each, Displaced)
+	}
+	ticket := &Ticket{
+		controller: c, entry: entry, turn: make(chan struct{}, 1), recheck: make(chan struct{}, 1), ended: make(chan struct{}),
+	}
+	if c.tickets == nil {
+		c.tickets = make(map[*Entry]*Ticket)
+	}
+	c.tickets[entry] = ticket
+	c.giveTurn(now)
+	return ticket, ""
+}
+
+// end tells a request that it must not wait any longer; the caller holds mu.
+func (c *Controller) end(entry *Entry, outcome Outcome) {
+	ticket := c.tickets[entry]
+	delete(c.tickets, entry)
+	ticket.outcome = outcome
+	close(ticket.ended)
+}
+
+// giveTurn gives the turn to the next request, if one is to have it; the caller holds mu.
+func (c *Controller) giveTurn(now time.Time) {
+	if entry := c.queue.Next(now); entry != nil {
+		c.tickets[entry].turn <- struct{}{}
+	}
+}
+
+// Event records that capacity may have become free: a first event has come or a peer has reported its load.
+func (c *Controller) Event(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Event(now)
+	c.giveTurn(now)
+}
+
+// AttemptEnded records that a request has ended at its server; completed means that the server completed it.
+func (c *Controller) AttemptEnded(now time.Time, completed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if completed {
+		c.schedule.completions.observe(now)
+	}
+	c.queue.Event(now)
+	c.giveTurn(now)
+}
+
+// Recheck has all waiting requests checked again, because keys, routes or servers have changed.
+func (c *Controller) Recheck() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ticket := range c.tickets {
+		select {
+		case ticket.recheck <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Stop ends the wait of all requests; from then on none waits.
+func (c *Controller) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for entry := range c.tickets {
+		c.queue.Remove(entry)
+		c.end(entry, Stopping)
+	}
+}
+
+// Refuse returns the time to retry after of a request that is refused now for lack of capacity. capacityIn is the expected time until a server can
+// start it. A request that came back early keeps the time that it got first.
+func (c *Controller) Refuse(now time.Time, request Request, standing Standing, capacityIn time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if remaining := c.refusals.remaining(now, request); standing == Early && remaining > 0 {
+		return max(remaining, minRetryAfter)
+	}
+	after := c.schedule.retryAfter(now, request, capacityIn)
+	c.refusals.record(request, now.Add(after))
+	return after
+}
+
+// Signal is what a waiting request learns.
+type Signal int
+
+// Signals to waiting requests.
+const (
+	// Turn means that the request has the turn: it must look for a server and then call Take, Pass or Leave.
+	Turn Signal = iota
+	// Recheck means that the request must be checked again.
+	Recheck
+	// End means that the request must not wait any longer; Outcome says why.
+	End
+)
+
+// Next waits for the next signal. It returns End with the outcome Ended when the context is done.
+func (t *Ticket) Next(ctx context.Context) (Signal, Outcome) {
+	expired := time.NewTimer(time.Until(t.entry.StartBy))
+	defer expired.Stop()
+	select {
+	case <-t.turn:
+		// The process may have stood still since the turn was given.
+		if time.Now().After(t.entry.StartBy) {
+			return End, Expired
+		}
+		return Turn, ""
+	case <-t.recheck:
+		return Recheck, ""
+	case <-t.ended:
+		return End, t.outcome
+	case <-ctx.Done():
+		return End, Ended
+	case <-expired.C:
+		return End, Expired
+	}
+}
+
+// Pass gives the turn to the next request, because no server was found.
+func (t *Ticket) Pass(now time.Time) {
+	t.controller.mu.Lock()
+	defer t.controller.mu.Unlock()
+	t.controller.queue.Pass(t.entry)
+	t.controller.giveTurn(now)
+}
+
+// Take removes the request, which is sent.
+func (t *Ticket) Take(now time.Time) {
+	t.controller.mu.Lock()
+	defer t.controller.mu.Unlock()
+	delete(t.controller.tickets, t.entry)
+	t.controller.queue.Take(t.entry)
+	t.controller.giveTurn(now)
+}
+
+// Leave removes the request, which is not sent; a turn that it had goes to the next one. It has no effect after Take.
+func (t *Ticket) Leave(now time.Time) {
+	t.controller.mu.Lock()
+	defer t.controller.mu.Unlock()
+	delete(t.controller.tickets, t.entry)
+	t.controller.queue.Remove(t.entry)
+	t.controller.giveTurn(now)
+}
--- /dev/null
+++ b/internal/request/waiting/controller_test.go
@@ -0,0 +1,180 @@
+package waiting_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"vanillapond/internal/request/waiting"
+)
+
+func join(t *testing.T, c *waiting.Controller, priority waiting.Priority) *waiting.Ticket {
+	t.Helper()
+	ticket, outcome := c.Join(time.Now(), request(time.Now(), priority, time.Second), waiting.Fresh, 0)
+	if ticket == nil {
+		t.Fatalf("does not wait: %s", outcome)
+	}
+	return ticket
+}
+
+// TestWaitEnds guards against requests that wait beyond an eighth of their objective, or after they were displaced, left by their caller or refused by a
+// stopping instance, and against a turn that is lost with a request that leaves.
+func TestWaitEnds(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, began := &waiting.Controller{}, time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		left, next := join(t, c, 1), join(t, c, 2)
+		c.Event(time.Now())
+		cancel()
+		synctest.Wait()
+		left.Leave(time.Now())
+		signal, _ := next.Next(t.Context())
+		is.Equal(signal, waiting.Turn)
+		next.Pass(time.Now())
+		_, outcome := left.Next(ctx)
+		is.Equal(outcome, waiting.Ended)
+		is.Equal(time.Since(began), time.Duration(0))
+
+		_, outcome = next.Next(t.Context())
+		is.Equal(outcome, waiting.Expired)
+		is.Equal(time.Since(began), time.Second/8)
+		next.Leave(time.Now())
+		is.Equal(c.Len(), 0)
+
+		displaced := join(t, c, 3)
+		for range waiting.MaxRequests {
+			join(t, c, 2)
+		}
+		began = time.Now()
+		_, outcome = displaced.Next(t.Context())
+		is.Equal(outcome, waiting.Displaced)
+		last := join(t, c, 1)
+		c.Stop()
+		_, outcome = last.Next(t.Context())
+		is.Equal(outcome, waiting.Stopping)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(c.Len(), 0)
+		_, outcome = c.Join(time.Now(), request(time.Now(), 0, time.Second), waiting.Fresh, 0)
+		is.Equal(outcome, waiting.Stopping)
+	})
+}
+
+// TestOneRequestPerEvent guards against an event that sends several waiting requests, which would all act on the same free slot.
+func TestOneRequestPerEvent(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &waiting.Controller{}
+		var sent atomic.Int32
+		for range 10 {
+			ticket := join(t, c, 1)
+			go func() {
+				defer func() { ticket.Leave(time.Now()) }()
+				if signal, _ := ticket.Next(t.Context()); signal == waiting.Turn {
+					sent.Add(1)
+					ticket.Take(time.Now())
+				}
+			}()
+		}
+		for events := int32(1); events <= 3; events++ {
+			c.Event(time.Now())
+			synctest.Wait()
+			is.Equal(sent.Load(), events)
+		}
+		c.AttemptEnded(time.Now(), true)
+		c.AttemptEnded(time.Now(), true)
+		synctest.Wait()
+		is.Equal(sent.Load(), int32(5))
+		c.Stop()
+		synctest.Wait()
+	})
+}
+
+// refuse has a controller whose service completes a request every 20 ms refuse one of this digest, and returns when its caller returns.
+func refuse(c *waiting.Controller, now time.Time, digest uint64, capacityIn time.Duration) time.Time {
+	refused := request(now, 1, 2*time.Second)
+	refused.Digest = digest
+	return now.Add(c.Refuse(now, refused, waiting.Fresh, capacityIn))
+}
+
+func busyController() (*waiting.Controller, time.Time) {
+	c, now := &waiting.Controller{}, start
+	for range 400 {
+		now = now.Add(20 * time.Millisecond)
+		c.AttemptEnded(now, true)
+	}
+	return c, now
+}
+
+// TestReturnOrder guards against callers that return in another order than they were refused in, and against slots that differ from the rate at which
+// the service completes requests: the caller after k others returns within a slot of the k-th completion.
+func TestReturnOrder(t *testing.T) {
+	t.Parallel()
+	c, now := busyController()
+	previous := time.Time{}
+	for index := range 40 {
+		at := refuse(c, now.Add(time.Duration(index)*time.Millisecond), uint64(index), 100*time.Millisecond)
+		want := now.Add(300*time.Millisecond + time.Duration(index)*20*time.Millisecond)
+		if !at.After(previous) || at.Sub(want).Abs() >= 20*time.Millisecond {
+			t.Fatalf("caller %d returns at %s after the previous one, %s after its slot", index, at.Sub(previous), at.Sub(want))
+		}
+		previous = at
+	}
+}
+
+// TestReturnBounds guards against callers that are sent away for longer than their objective although capacity is expected sooner, and against a lower
+// estimate that lets a later caller overtake.
+func TestReturnBounds(t *testing.T) {
+	t.Parallel()
+	c, now := busyController()
+	previous := now
+	for index := range 2000 {
+		capacityIn := time.Duration(1500-index) * time.Millisecond
+		at := refuse(c, now, uint64(index), capacityIn)
+		if at.Before(previous) || at.Sub(now) < 300*time.Millisecond || at.Sub(now) > 2*time.Second {
+			t.Fatalf("caller %d returns after %s, %s after the previous one", index, at.Sub(now), at.Sub(previous))
+		}
+		previous = at
+	}
+}
+
+// TestEarlyReturn guards against callers that repeat immediately and thereby go before those that return when they were asked to, or get another time,
+// and against a memory of refusals without bound.
+func TestEarlyReturn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, now := busyController()
+	first, second := refuse(c, now, 1, 0), refuse(c, now, 2, 0)
+	early := request(now, 1, 2*time.Second)
+	early.Digest = 2
+	is.Equal(c.Standing(first, early), waiting.Early)
+	is.Equal(first.Add(c.Refuse(first, early, waiting.Early, time.Second)), first.Add(max(second.Sub(first), 300*time.Millisecond)))
+	punctual := request(first.Add(time.Millisecond), 1, 2*time.Second)
+	punctual.Digest = 1
+	is.Equal(c.Standing(first, punctual), waiting.Returned)
+	is.Equal(c.Standing(first, punctual), waiting.Fresh) // It has returned.
+	_, outcome := c.Join(first, early, waiting.Early, 0)
+	is.Equal(outcome, waiting.Unreachable) // Its latest start has passed.
+	early.StartBy = first.Add(time.Millisecond)
+	_, outcome = c.Join(first, early, waiting.Early, 0)
+	is.Equal(outcome, waiting.Outcome(""))
+	is.True(c.IsFirst(punctual, waiting.Returned) && !c.IsFirst(punctual, waiting.Early))
+
+	for digest := range uint64(2000) {
+		refuse(c, now, 10+digest, 0)
+	}
+	remembered := 0
+	for digest := range uint64(2000) {
+		early.Digest = 10 + digest
+		if c.Standing(now, early) != waiting.Fresh {
+			remembered++
+		}
+	}
+	is.Equal(remembered, 1024)
+}
--- /dev/null
+++ b/internal/request/waiting/schedule.go
@@ -0,0 +1,64 @@
+package waiting
+
+import "time"
+
+// Times to retry after.
+const (
+	// minRetryAfter is the shortest time to retry after. It is several round trips long, so that the retries cause no significant load.
+	minRetryAfter = 300 * time.Millisecond
+	// resolution is that of the Retry-After header. It is also the time between two callers that return before the service has completed a request.
+	resolution = 10 * time.Millisecond
+)
+
+// schedule gives each refused request a time at which its caller returns, in the order of the refusals.
+//
+// Load pattern: a burst beyond capacity is refused within milliseconds. If all callers returned after the same time, or after a random one, they would
+// compete again, and those refused first would not be the ones to be served. Each of them gets a slot as long as the service takes to complete a
+// request. The slots of a priority follow those of more urgent ones.
+type schedule struct {
+	completions pace
+	// taken is, by priority, until when all slots are taken for the requests of this priority and of higher ones, before the expected time until
+	// capacity is added.
+	taken [PriorityLevels]time.Time
+	// latest is, by priority, the latest time that a caller got.
+	latest [PriorityLevels]time.Time
+}
+
+// retryAfter returns the time to retry after for a request that is refused now. capacityIn is the expected time until a server can start it.
+func (s *schedule) retryAfter(now time.Time, request Request, capacityIn time.Duration) time.Duration {
+	base := max(capacityIn, minRetryAfter)
+	slot := max(s.completions.interval(now), resolution)
+	backlog := max(s.taken[request.Priority].Sub(now), 0)
+	for priority := request.Priority; priority < PriorityLevels; priority++ {
+		if s.taken[priority].Before(now) {
+			s.taken[priority] = now
+		}
+		s.taken[priority] = s.taken[priority].Add(slot)
+	}
+	after := base + backlog
+	if request.Objective > 0 {
+		room := request.Objective
+		if base < request.Objective {
+			room = request.Objective - base
+		}
+		after = base + compress(backlog, room)
+		// A smaller estimate than that of the earlier callers must not overtake them, as far as the objective allows.
+		after = min(max(after, s.latest[request.Priority].Sub(now)), base+room)
+	} else {
+		after = max(after, s.latest[request.Priority].Sub(now))
+	}
+	if at := now.Add(after); at.After(s.latest[request.Priority]) {
+		s.latest[request.Priority] = at
+	}
+	return after
+}
+
+// compress maps a backlog to less than room so that a longer one stays longer. Up to half of the room it is unchanged.
+func compress(backlog, room time.Duration) time.Duration {
+	half := room / 2
+	if backlog <= half {
+		return backlog
+	}
+	beyond := float64(backlog - half)
+	return half + time.Duration(float64(half)*beyond/(float64(half)+beyond))
+}
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -124,6 +124,7 @@
 		}
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
+			g.router.waiting.get(service).Event(now)
 		}
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -163,6 +163,7 @@
 	}
 	r.evacuated = evacuated
 	if r.servers.Evacuate(evacuated) {
+		r.recheckWaiting()
 		_, ready := r.servers.Counts()
 		domains := slices.Sorted(maps.Keys(evacuated))
 		r.journal.Log("evacuation", "domains", fmt.Sprint(domains), "revision", update.Revision, "ready", ready)
@@ -180,6 +181,7 @@
 	if r.configuration.Advance(configuration) {
 		r.journal.Log("configuration", "version", configuration.Version, "before", before, "routes", len(configuration.Routes),
 			"services", len(configuration.Services), "customers", len(configuration.Customers), "revision", change.Revision)
+		r.recheckWaiting()
 		return true
 	}
 	if configuration.Version < before {
@@ -220,6 +222,9 @@
 
 // logServers logs changes of servers; beyond maxServerLines, it logs only how many there were of each kind.
 func (r *Router) logServers(events []servers.Event) {
+	if len(events) > 0 {
+		r.recheckWaiting()
+	}
 	known, ready := r.servers.Counts()
 	if len(events) > maxServerLines {
 		counts := make(map[string]int)
@@ -240,6 +245,7 @@
 // recordAnnouncement logs and counts what a server has said about itself in a response.
 func (r *Router) recordAnnouncement(event servers.Event) {
 	r.metrics.countAnnouncement(event.Name)
+	r.recheckWaiting()
 	_, ready := r.servers.Counts()
 	r.journal.Log("server_"+event.Name, "server", event.Server.ID, "service", event.Server.Service, "address", event.Server.Address,
 		"pause", event.Pause, "rate", event.Rate, "from_peer", event.FromPeer, "ready", ready)
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -34,6 +34,7 @@
 	suspectEvents        *prometheus.CounterVec
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
+	waits                waitMetrics
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -95,6 +96,7 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
 	m.registry.MustRegister(retryBudgetCollector{r})
+	m.waits = newWaitMetrics(r, m.registry)
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -199,6 +201,7 @@
 		record.Attempts[last].Choice.Free > 0 {
 		m.refusedWithFreeSlots.WithLabelValues(string(record.Service)).Inc()
 	}
+	m.waits.observe(record)
 	r.logRequest(record)
 }
 
@@ -230,6 +233,9 @@
 	if record.QuarantinedPart != 0 {
 		pairs = append(pairs, "part", strconv.FormatUint(uint64(record.QuarantinedPart), 16))
 	}
+	if record.WaitOutcome != "" {
+		pairs = append(pairs, "waited_ms", record.Waited.Milliseconds(), "wait", record.WaitOutcome)
+	}
 	if record.Resumes != "" {
 		pairs = append(pairs, "resumes", record.Resumes)
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -30,6 +30,7 @@
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
+	"vanillapond/internal/request/waiting"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -93,6 +94,7 @@
 	reporting            sync.WaitGroup
 	balancers            *perService[*placement.Balancer]
 	admissionControllers *perService[*admission.Controller]
+	waiting              *perService[*waiting.Controller]
 	retryBudgets         *perService[*retry.Budget]
 }
 
@@ -120,6 +122,7 @@
 		health:               health{recovered: make(chan struct{})},
 	}
 	r.retryBudgets = newPerService(r.newRetryBudget)
+	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.countDroppedLine})
@@ -218,9 +221,9 @@
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
-		Admission: r.admissionControllers.get,
-		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
+		Admission: r.admissionControllers.get, Waiting: r.waiting.get,
+		Budget:   r.retryBudgets.get,
+		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"),
 		MaxKeyAge:     func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
@@ -294,6 +297,7 @@
 	grace := r.bounds().Grace
 	r.journal.Log("stopping", "grace", grace)
 	r.health.drain()
+	r.stopWaiting()
 	r.callerListener.DisableKeepAlives()
 	r.cancelReporting()
 	r.reporting.Wait()
