Test of waiting requests ends when a request is not made to wait

Cause: with the queue taken out, TestWaitsForCapacity hung until the test's time limit instead of failing. Change: it goes on once the request has ended. Result: passes with -race.

--- a/internal/request/forward/wait_test.go
+++ b/internal/request/forward/wait_test.go
@@ -85,9 +85,9 @@
 	platformtest.SetPrompt(r.Header, platform.Prompt{Tokens: 100, MaxOutput: 10})
 }
 
-// awaitWaiting waits until a request waits.
-func (h *waitHarness) awaitWaiting(ctx context.Context) {
-	for h.queue.Len() == 0 && ctx.Err() == nil {
+// awaitWaiting waits until a request waits, or has been decided without.
+func (h *waitHarness) awaitWaiting() {
+	for h.queue.Len() == 0 && len(h.observed) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -148,7 +148,7 @@
 				}
 			}()
 			if c.during != nil {
-				h.awaitWaiting(ctx)
+				h.awaitWaiting()
 				c.during(h, leave)
 			}
 			record := <-h.observed
