--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -13,6 +13,12 @@
 	// lowerPriorityLateFraction replaces lateFraction while requests of lower priority are in flight. They are sacrificed first,
 	// because a late response to this request is worth more than a refusal while lower priorities are served.
 	lowerPriorityLateFraction = 1.5
+	// loadAwareMargin is the fraction of the objective that is added to the wait of requests of load-aware services: there, the prompts that are ahead
+	// delay the running streams, too, and what other instances have just sent is not known yet.
+	loadAwareMargin = 0.375
+	// queuedMargin replaces loadAwareMargin for a request that has waited for capacity, so that it is released only when a server has become free. All
+	// instances see a queue delay fall at the same time: if each released a request as soon as an arriving one is admitted, it would rise far above.
+	queuedMargin = 0.5
 	// retryFraction is the fraction of the objective that the queue delay may still take up when a refused request is retried.
 	retryFraction = 0.4
 	// minRetryAfter is the shortest time to retry after. It is several round trips long, so that the retries cause no
@@ -32,8 +38,14 @@
 	Objective time.Duration
 	// Waited is the time since the arrival of the request.
 	Waited time.Duration
+	// LoadAware means that the service is load-aware.
+	LoadAware bool
+	// Queued means that the request has waited for capacity.
+	Queued bool
 	// LowerPriorityActive reports whether requests of lower priority are in flight.
 	LowerPriorityActive bool
+	// Repeated means that the same request was decided on before, so that it is not counted again.
+	Repeated bool
 	// Random is a random number between 0 and 1, for jitter.
 	Random float64
 }
@@ -47,6 +59,8 @@
 	Blocked bool
 	// RetryAfter is the time to retry after; 0 if admitted.
 	RetryAfter time.Duration
+	// Excess is by how much the queue delay must fall until the request is admitted; 0 if it is admitted or blocked.
+	Excess time.Duration
 }
 
 // Decide refuses a request that the queue delay would make late, unless requests of lower priority are in flight and it
@@ -58,15 +72,24 @@
 // so that large requests are not refused more often. Prompts of lower priority do not count towards the queue delay, so
 // that no request is refused because of one with lower priority.
 func Decide(request Request) Decision {
-	wait := request.QueueDelay + request.Waited
+	wait, limit := request.QueueDelay+request.Waited, scaled(lateFraction, request.Objective)
 	switch {
-	case request.Objective <= 0 || wait <= scaled(lateFraction, request.Objective):
+	case request.Queued:
+		wait += scaled(queuedMargin, request.Objective)
+	case request.LoadAware:
+		wait += scaled(loadAwareMargin, request.Objective)
+	}
+	if request.Objective <= 0 || wait <= limit {
 		return Decision{Admit: true}
-	case request.LowerPriorityActive && wait <= scaled(lowerPriorityLateFraction, request.Objective):
-		return Decision{Admit: true, LikelyLate: true}
+	}
+	if request.LowerPriorityActive {
+		if limit = scaled(lowerPriorityLateFraction, request.Objective); wait <= limit {
+			return Decision{Admit: true, LikelyLate: true}
+		}
 	}
 	return Decision{
 		LikelyLate: true, RetryAfter: withJitter(request.QueueDelay-scaled(retryFraction, request.Objective), request.Random),
+		Excess: wait - limit,
 	}
 }
 
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -137,6 +137,7 @@
 		}
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
+			g.router.waiting.get(service).Event(now)
 		}
 		g.mergeSpeeds(now, received)
 		g.mergeHealth(now, received)
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -36,6 +36,7 @@
 	crashes              prometheus.Counter
 	falseLoads           *prometheus.CounterVec
 	healthChanges        *prometheus.CounterVec
+	waits                waitMetrics
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -100,6 +101,7 @@
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents,
 		m.quarantineEvents, m.crashes, m.falseLoads, m.healthChanges)
 	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r})
+	m.waits = newWaitMetrics(r, m.registry)
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -204,6 +206,7 @@
 		record.Attempts[last].Choice.Free > 0 {
 		m.refusedWithFreeSlots.WithLabelValues(string(record.Service)).Inc()
 	}
+	m.waits.observe(record)
 	r.logRequest(record)
 }
 
@@ -238,6 +241,9 @@
 	if record.QuarantinedPart != 0 {
 		pairs = append(pairs, "part", strconv.FormatUint(uint64(record.QuarantinedPart), 16))
 	}
+	if record.WaitOutcome != "" {
+		pairs = append(pairs, "waited_ms", record.Waited.Milliseconds(), "wait", record.WaitOutcome)
+	}
 	if record.Resumes != "" {
 		pairs = append(pairs, "resumes", record.Resumes)
 	}
