placement: estimates of load with their uncertainty and a choice that depends on it

Cause: at load-aware services all instances took the server that looked best in reports of the same age, so that servers were overloaded in turn. Change: rateOf, estimate, Report, Merge and chooseOption; gossip key 16; metrics and the log field load_age_ms. Other services use the code before.

--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -43,6 +43,9 @@
 		b.cache.record(now, query.Parts, server)
 	}
 	server.local.add(attempt.load)
+	if b.settings.LoadAware {
+		b.estimates.recordSend(now, ordinarySend+sendKind(attempt.load.LatencySensitive))
+	}
 	server.attempts[attempt] = struct{}{}
 	return attempt
 }
@@ -59,6 +62,7 @@
 	a.load.Prefill = PrefillTokens{}
 	if a.noBacklog {
 		a.balancer.speed.observe(a.unsharedTokens, now.Sub(a.sentAt))
+		a.server.figures.rate.observe(a.unsharedTokens, now.Sub(a.sentAt))
 	}
 }
 
@@ -73,9 +77,6 @@
 	WorkPercent float64
 }
 
-// ReportLoad records what the server says about its load at the head of its response.
-func (a *Attempt) ReportLoad(now time.Time, load ReportedLoad) { _, _ = now, load }
-
 // Result is the result of a request as far as it reflects on the health of the server.
 type Result int
 
--- /dev/null
+++ b/internal/request/placement/choose.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// goodMargin is the cost above that of the best server up to which a server is good enough for a random choice. It is below the cost of using an engine that
+// is reserved for other requests, and equals a failure rate of 0.45.
+const goodMargin = 0.3
+
+// minRise is the smallest rise of cost per request, so that servers of equal cost share the requests.
+const minRise = 1e-6
+
+// option is a server as a choice sees it.
+type option struct {
+	// cost is the server's cost to a request whose prompt no engine has cached.
+	cost float64
+	// gain is what the request saves at this server by parts of its prompt that are cached there; 0 or less.
+	gain float64
+	// rise is the rise of cost by one more request like this one, greater than 0.
+	rise float64
+}
+
+// chooseOption returns the index of the option that a request takes; there must be at least one.
+//
+// Load pattern: many instances choose at the same moment by figures of the same age, and all would take the server that was best then, which is overloaded
+// until the next figures, and then avoided by all. unseen is the expected number of requests that the others have placed since these figures. They are
+// expected to have raised the lowest costs to one level, and the request takes a server below the level with a probability proportional to the
+// requests that fit there below it. Without unseen requests this is the server of least cost; with many it is a random server, in proportion to its speed.
+//
+// A cached prefix counts against the level, not against the outdated differences below it, so that it keeps its value however old the figures are.
+func chooseOption(options []option, unseen float64, random *rand.Rand) int {
+	level, least := waterLevel(options, unseen)
+	if index := bestGain(options, level, unseen, random); index >= 0 {
+		return index
+	}
+	sum := 0.0
+	for index := range options {
+		sum += options[index].room(level)
+	}
+	if sum <= 0 {
+		return randomLeast(options, least, random)
+	}
+	remaining := random.Float64() * sum
+	last := 0
+	for index := range options {
+		room := options[index].room(level)
+		if room <= 0 {
+			continue
+		}
+		if last = index; remaining < room {
+			break
+		}
+		remaining -= room
+	}
+	return last
+}
+
+// room returns how many requests the server takes until its cost reaches the level.
+func (o *option) room(level float64) float64 { return max(level-o.cost, 0) / o.rise }
+
+// waterLevel returns the cost up to which unseen requests have raised the cheapest options, at most goodMargin above the least cost.
+func waterLevel(options []option, unseen float64) (level, least float64) {
+	least = math.Inf(1)
+	for index := range options {
+		least = min(least, options[index].cost)
+	}
+	limit := least + goodMargin
+	level = limit
+	for {
+		filled, capacity, total := 0.0, 0.0, 0.0
+		for index := range options {
+			if each := &options[index]; each.cost < level || each.cost == least {
+				perCost := 1 / each.rise
+				capacity += perCost
+				total += each.cost * perCost
+				filled += max(level-each.cost, 0) * perCost
+			}
+		}
+		const tolerance = 1e-9
+		if filled <= unseen+tolerance {
+			return level, least
+		}
+		next := max((unseen+total)/capacity, least)
+		if next >= level-tolerance*goodMargin {
+			return level, least
+		}
+		level = next
+	}
+}
+
+// bestGain returns the option with a gain that is expected to cost least, or -1 if one at the level without a gain costs less. The comparison is blurred by
+// the error of an estimate, so that the instances do not all change their minds at the same moment.
+func bestGain(options []option, level, unseen float64, random *rand.Rand) int {
+	best, least := -1, math.Inf(1)
+	for index := range options {
+		each := &options[index]
+		if each.gain >= 0 {
+			continue
+		}
+		if cost := max(each.cost, level) + each.gain; cost < least {
+			best, least = index, cost
+		}
+	}
+	if best < 0 {
+		return -1
+	}
+	deviation := options[best].rise * math.Sqrt(unseen/float64(len(options)))
+	if least+(2*random.Float64()-1)*deviation < level {
+		return best
+	}
+	return -1
+}
+
+// randomLeast returns a random one of the options of least cost.
+func randomLeast(options []option, least float64, random *rand.Rand) int {
+	chosen, ties := 0, 0
+	for index := range options {
+		if options[index].cost > least {
+			continue
+		}
+		if ties++; random.IntN(ties) == 0 {
+			chosen = index
+		}
+	}
+	return chosen
+}
+
+// choose returns the server for a request and its cost: the cheapest one, at load-aware services as far as the estimates are certain.
+func (b *Balancer) choose(now time.Time, query Query) (*server, float64) {
+	if !b.settings.LoadAware {
+		return b.cheapest(now, query)
+	}
+	costOf := plainCost
+	if query.Engine {
+		costOf = b.engineCost(query)
+	}
+	e := &b.estimates
+	e.options = e.options[:0]
+	e.active, e.prefill, e.servers = 0, 0, len(b.eligible)
+	best := 0
+	for index, candidate := range b.eligible {
+		cost := costOf(candidate)
+		each := option{cost: cost}
+		if candidate.cachedTokens > 0 || candidate.preference < preferredCount {
+			each.cost = withoutCache(costOf, candidate)
+			each.gain = cost - each.cost
+		}
+		if len(candidate.attempts) > 0 || candidate.health != (health{}) {
+			each.cost += candidate.penalty(now)
+		}
+		e.options = append(e.options, each)
+		if each.cost < e.options[best].cost {
+			best = index
+		}
+		e.active += candidate.load.Active
+		e.prefill += candidate.load.Prefill.Total()
+	}
+	b.setRises(query, costOf, b.eligible[best])
+	kind := ordinarySend
+	if query.Engine && b.speed.latencySensitive(query.MaxPause) {
+		kind = sensitiveSend
+	}
+	chosen := chooseOption(e.options, e.unseen(now, kind), b.random)
+	return b.eligible[chosen], e.options[chosen].cost + e.options[chosen].gain
+}
+
+// withoutCache returns a server's cost to a request whose prompt it has not cached.
+func withoutCache(costOf func(*server) float64, candidate *server) float64 {
+	preference, tokens := candidate.preference, candidate.cachedTokens
+	candidate.preference, candidate.cachedTokens = preferredCount, 0
+	cost := costOf(candidate)
+	candidate.preference, candidate.cachedTokens = preference, tokens
+	return cost
+}
+
+// setRises sets by how much one more request like this one raises each option's cost: as at the best server, in proportion to the time that the servers take.
+func (b *Balancer) setRises(query Query, costOf func(*server) float64, best *server) {
+	load := best.load
+	before := withoutCache(costOf, best)
+	best.load.Active++
+	if query.Engine {
+		best.load.Prefill[query.PriorityLevel] += query.Prompt - best.cachedTokens
+		best.load.KVTokens += query.Prompt + query.Output
+	}
+	rise := max(withoutCache(costOf, best)-before, minRise) * b.rateOf(best)
+	best.load = load
+	for index, candidate := range b.eligible {
+		b.estimates.options[index].rise = rise / b.rateOf(candidate)
+	}
+}
--- a/internal/request/placement/engine.go
+++ b/internal/request/placement/engine.go
@@ -49,7 +49,6 @@
 func (b *Balancer) engineCost(query Query) func(*server) float64 {
 	shared := sharedTokens(query.Parts)
 	sensitive := b.speed.latencySensitive(query.MaxPause)
-	msPerToken := backlogWeight / b.speed.rate
 	baseMs := milliseconds(b.speed.base())
 	objectiveMs := milliseconds(query.Objective)
 	if objectiveMs <= 0 {
@@ -64,6 +63,7 @@
 	kvTokens := query.Prompt + query.Output
 	recomputePerToken := (recomputeCost + busyRecomputeCost*b.reservation.busyFraction) / 1000
 	return func(candidate *server) float64 {
+		msPerToken := backlogWeight / b.rateOf(candidate)
 		uncached := candidate.uncachedTokens(query, shared)
 		prefill := float64(uncached) * msPerToken
 		queued := float64(candidate.load.Prefill.upTo(query.PriorityLevel)) * msPerToken
--- a/internal/request/placement/load.go
+++ b/internal/request/placement/load.go
@@ -31,7 +31,10 @@
 // drain subtracts tokens that have been prefilled since, the highest priority first.
 func (p *PrefillTokens) drain(tokens ident.Tokens) {
 	for priority := range p {
-		drained := min(max(tokens, 0), max(p[priority], 0))
+		if tokens <= 0 {
+			return
+		}
+		drained := min(tokens, max(p[priority], 0))
 		p[priority] -= drained
 		tokens -= drained
 	}
@@ -80,18 +83,27 @@
 func (b *Balancer) UpdatePeer(now time.Time, from ident.Process, loads map[ident.Endpoint]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	previous := b.peers[from].reportedAt
 	b.removePeer(from)
 	b.peers[from] = peerReport{reportedAt: now, loads: loads}
+	at := b.estimates.sinceBase(now)
 	for id, load := range loads {
-		b.server(id).remote.add(load)
+		known := b.server(id)
+		known.remote.add(load)
+		known.figures.backlogTimeMS += int64(load.Prefill.Total()) * at
+	}
+	if b.settings.LoadAware {
+		b.estimates.hear(now, from, previous)
 	}
 }
 
 // removePeer removes a peer's report and its load; the caller holds mu.
 func (b *Balancer) removePeer(from ident.Process) {
-	for id, load := range b.peers[from].loads {
+	report := b.peers[from]
+	for id, load := range report.loads {
 		if known := b.servers[id]; known != nil {
 			known.remote.subtract(load)
+			known.figures.backlogTimeMS -= int64(load.Prefill.Total()) * b.estimates.sinceBase(report.reportedAt)
 		}
 	}
 	delete(b.peers, from)
@@ -107,9 +119,9 @@
 }
 
 // prefilledSince estimates how many tokens an engine has prefilled since the peers' reports, using the mean age of the
-// reports; the caller holds mu.
+// reports; 0 at load-aware services, which drain each report by its own age. The caller holds mu.
 func (b *Balancer) prefilledSince(now time.Time) ident.Tokens {
-	if len(b.peers) == 0 {
+	if len(b.peers) == 0 || b.settings.LoadAware {
 		return 0
 	}
 	age := time.Duration(0)
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -76,6 +76,10 @@
 	Usable, Free int
 	// Reserved reports whether the server is reserved for latency-sensitive streams.
 	Reserved bool
+	// FigureAge is the age of the newest figure from elsewhere about the server's load; 0 without one and at services that are not load-aware.
+	FigureAge time.Duration
+	// Balance is a sample of how evenly the load is spread.
+	Balance Balance
 }
 
 // Balancer tracks the load of the servers of one service and picks one of them for each request.
@@ -93,6 +97,7 @@
 	// settings are those of the service; guarded by mu.
 	settings    Settings
 	reservation reservation
+	estimates   estimates
 	cache       prefixCache
 	random      *rand.Rand
 	// eligible holds the servers that the current Pick compares; its memory is reused. Guarded by mu.
@@ -115,6 +120,8 @@
 	// remote is the sum of the loads that peers report.
 	remote Load
 	health health
+	// figures are those of a load-aware service.
+	figures serverFigures
 	// attempts are this instance's requests in flight at the server.
 	attempts map[*Attempt]struct{}
 
@@ -191,14 +198,17 @@
 		markPreferred(query.Parts, b.eligible)
 		b.cache.markCached(now, query.Parts)
 	}
-	chosen, cost := b.cheapest(now, query)
+	chosen, cost := b.choose(now, query)
 	choice := Choice{
 		Server: chosen.ID, Cost: cost, Load: chosen.load, Reserved: chosen.reserved, Usable: len(b.eligible), Free: b.countFree(),
 	}
 	if query.Engine {
 		choice.Uncached = chosen.uncachedTokens(query, sharedTokens(query.Parts))
-		choice.QueueDelay = b.speed.prefillTime(chosen.load.Prefill.upTo(query.PriorityLevel))
-		choice.TimeToFirstEvent = choice.QueueDelay + b.speed.prefillTime(choice.Uncached) + b.speed.base()
+		choice.QueueDelay = b.prefillTimeAt(chosen, chosen.load.Prefill.upTo(query.PriorityLevel))
+		choice.TimeToFirstEvent = choice.QueueDelay + b.prefillTimeAt(chosen, choice.Uncached) + b.speed.base()
+	}
+	if b.settings.LoadAware {
+		choice.FigureAge, choice.Balance = b.figureAge(now, chosen), b.sampleBalance(now)
 	}
 	return choice, true
 }
@@ -248,9 +258,7 @@
 				slices.Contains(query.Exclude, candidate.ID) || canWait && candidate.isFailing(now) {
 				continue
 			}
-			candidate.load = candidate.remote
-			candidate.load.Prefill.drain(prefilled)
-			candidate.load.add(candidate.local)
+			candidate.load = b.estimate(now, candidate, prefilled)
 			candidate.preference, candidate.reserved, candidate.cachedParts, candidate.cachedTokens = preferredCount, false, 0, 0
 			b.eligible = append(b.eligible, candidate)
 		}
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -22,3 +22,10 @@
 	b.settings = settings
 	b.speed.configure(settings)
 }
+
+// LoadAware reports whether the service uses load-aware routing.
+func (b *Balancer) LoadAware() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settings.LoadAware
+}
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -58,6 +58,8 @@
 	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
 	// Origins is about streams and where they began.
 	Origins originMessage `cbor:"12,keyasint"`
+	// Measured are the sender's rates of sends and the newest load figures of servers, by load-aware service.
+	Measured map[ident.Pool]placement.LoadReport `cbor:"16,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -125,6 +127,7 @@
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
 		}
+		g.mergeMeasured(now, received)
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
@@ -217,7 +220,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(),
+		Limits: r.servers.LimitReports(), Measured: r.measuredLoads(time.Now()),
 	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -34,6 +34,7 @@
 	suspectEvents        *prometheus.CounterVec
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
+	balance              balanceMetrics
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -94,6 +95,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
+	m.balance = newBalanceMetrics(m.registry)
 	m.registry.MustRegister(retryBudgetCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
@@ -194,6 +196,7 @@
 	m.duration.WithLabelValues(record.Route).Observe(record.Duration.Seconds())
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(string(record.Service), attempt.Outcome).Inc()
+		m.balance.observe(record.Service, attempt.Choice.Balance)
 	}
 	if last := len(record.Attempts) - 1; last >= 0 && record.Attempts[last].Outcome == forward.Unsent &&
 		record.Attempts[last].Choice.Free > 0 {
@@ -216,7 +219,7 @@
 			"server", attempt.Choice.Server, "software", attempt.Software, "sent", attempt.Outcome, "sent_ms", attempt.Duration.Milliseconds(),
 			"usable", attempt.Choice.Usable,
 			"expected_ms", attempt.Choice.TimeToFirstEvent.Milliseconds(), "active", attempt.Choice.Load.Active,
-			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
+			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(), "load_age_ms", attempt.Choice.FigureAge.Milliseconds(),
 			"quiet", attempt.Choice.Reserved,
 			"paced", attempt.Choice.Load.LatencySensitive, "uncached", int64(attempt.Choice.Uncached))
 		if attempt.Cause != nil {
