--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -19,6 +19,8 @@
 // the tokens generated so far are prefilled again.
 type engine struct {
 	plan EnginePlan
+	// speed is the factor of the nominal speed.
+	speed float64
 	// slowFrom is the time at which the engine becomes slow, 0 for never.
 	slowFrom time.Duration
 	queued   []*job
@@ -53,9 +55,12 @@
 	memory ident.Tokens
 }
 
-func newEngine(plan EnginePlan, slow bool) *engine {
-	e := &engine{plan: plan, cached: make(map[uint64]cachedPart)}
-	if slow {
+func newEngine(plan EnginePlan, index int) *engine {
+	e := &engine{plan: plan, speed: 1, cached: make(map[uint64]cachedPart)}
+	if len(plan.Speeds) > 0 {
+		e.speed = plan.Speeds[index%len(plan.Speeds)]
+	}
+	if index < plan.SlowCount {
 		e.slowFrom = seconds(plan.SlowFromSeconds)
 	}
 	return e
@@ -103,6 +108,9 @@
 	}
 	duration := milliseconds(e.plan.StepMS + e.plan.StepMSPerRequest*float64(len(e.decoding)) +
 		float64(e.stepPrefill)/e.plan.PrefillPerMS)
+	if e.speed != 1 {
+		duration = time.Duration(float64(duration) / e.speed)
+	}
 	if e.slowFrom > 0 && now >= e.slowFrom {
 		duration = time.Duration(float64(duration) * e.plan.SlowFactor)
 	}
--- a/internal/experiment/engine_test.go
+++ b/internal/experiment/engine_test.go
@@ -21,7 +21,7 @@
 }
 
 func newHarness(plan EnginePlan) *harness {
-	return &harness{engine: newEngine(plan, false), tokenTimes: make(map[*request][]time.Duration)}
+	return &harness{engine: newEngine(plan, 0), tokenTimes: make(map[*request][]time.Duration)}
 }
 
 func (h *harness) send(priority int, prompt, output ident.Tokens, parts ...RecordedPart) *request {
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -20,7 +20,10 @@
 	// the load reports of the others.
 	Entries int `yaml:"entries"`
 	// GossipMS is the interval at which an entry reports its local load to the others.
-	GossipMS float64 `yaml:"gossip_ms"`
+	GossipMS float64    `yaml:"gossip_ms"`
+	Reports  ReportPlan `yaml:"reports"`
+	// LoadAware turns on load-aware routing; classes whose max_pause_ms is the smallest are then latency-sensitive.
+	LoadAware bool `yaml:"load_aware"`
 	// NetworkDelayMS is the one-way delay between an entry and an engine; the time to the first event includes it twice.
 	NetworkDelayMS float64    `yaml:"trip_ms"`
 	Engines        EnginePlan `yaml:"engines"`
@@ -49,6 +52,9 @@
 	SlowCount       int     `yaml:"slow"`
 	SlowFactor      float64 `yaml:"slow_times"`
 	SlowFromSeconds float64 `yaml:"slow_from"`
+	// Speeds are factors of the nominal speed, such as 0.6 for an engine whose steps take 1/0.6 times as long. Engine i has the factor at i modulo their
+	// number; without any, all engines have nominal speed.
+	Speeds []float64 `yaml:"speeds"`
 }
 
 // Class describes the demand of one class, its targets, and the worth of its responses.
@@ -117,6 +123,9 @@
 	if err := p.Engines.check(); err != nil {
 		return err
 	}
+	if err := p.Reports.check(); err != nil {
+		return err
+	}
 	for _, class := range p.Classes {
 		if class.ID == "" || class.Priority < 0 || class.Priority > lowestPriority {
 			return oops.Errorf("classes: found id %q with rank %d, want an id and a rank from 0 to %d", class.ID, class.Priority, lowestPriority)
@@ -143,6 +152,11 @@
 	if e.StepMS <= 0 || e.PrefillPerMS <= 0 || e.StepMSPerRequest < 0 {
 		return oops.Errorf("engines: step_ms and read_per_ms must be greater than 0, and run_ms 0 or more")
 	}
+	for _, factor := range e.Speeds {
+		if factor <= 0 {
+			return oops.Errorf("engines: speeds: found %g, must be greater than 0", factor)
+		}
+	}
 	return nil
 }
 
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -26,8 +26,8 @@
 	decide(now time.Time, entry int, query placement.Query) decision
 	// requestEnded is called when a request that was sent to an engine has ended.
 	requestEnded(entry, engine int)
-	// exchangeLoads sends each entry's load report to the others.
-	exchangeLoads(now time.Time)
+	// exchangeLoads sends each entry's load report to the others; deliver applies it when it arrives.
+	exchangeLoads(now time.Time, deliver func(apply func(now time.Time)))
 	// usesPriorities reports whether requests carry their class's priority to the engines.
 	usesPriorities() bool
 }
@@ -39,9 +39,16 @@
 // its own, and overload does not refuse those of lower priority first.
 const PolicyWithoutPriorityAdmission = "router_without_precedence"
 
+// PolicyCheapest is the router without load-aware routing, whatever the plan says. PolicyPerfectKnowledge is the router whose entries all know at once what
+// the others have sent, as a bound for what better estimates can gain.
+const (
+	PolicyCheapest         = "router_cheapest"
+	PolicyPerfectKnowledge = "router_perfect_knowledge"
+)
+
 func newPolicy(name string, plan Plan, seed uint64) policy {
 	switch name {
-	case "router", "router_without_admission", PolicyWithoutPriorityAdmission:
+	case "router", "router_without_admission", PolicyWithoutPriorityAdmission, PolicyCheapest, PolicyPerfectKnowledge:
 		return newRouterPolicy(plan, seed, name)
 	case "least_outstanding":
 		return &leastOutstanding{outstanding: newOutstandingCounts(plan)}
@@ -71,7 +78,14 @@
 		usesAdmission: name != "router_without_admission", usesPriorityAdmission: name != PolicyWithoutPriorityAdmission,
 	}
 	for entry := range plan.Entries {
+		if name == PolicyPerfectKnowledge && entry > 0 {
+			p.balancers = append(p.balancers, p.balancers[0])
+			continue
+		}
 		balancer := placement.New(seed + uint64(entry))
+		if plan.LoadAware && name != PolicyCheapest {
+			balancer.Configure(plan.settings())
+		}
 		balancer.Update(placement.Generation{Servers: 1}, func() []placement.Candidate {
 			candidates := make([]placement.Candidate, plan.Engines.Count)
 			for index := range candidates {
@@ -108,15 +122,35 @@
 
 func (p *routerPolicy) requestEnded(int, int) {}
 
-func (p *routerPolicy) exchangeLoads(now time.Time) {
+func (p *routerPolicy) exchangeLoads(now time.Time, deliver func(apply func(now time.Time))) {
 	for from, balancer := range p.balancers {
+		process := ident.Process(strconv.Itoa(from))
 		localLoad := balancer.LocalLoad()
-		for to, other := range p.balancers {
-			if from != to {
-				other.UpdatePeer(now, ident.Process(strconv.Itoa(from)), localLoad)
+		report, loadAware := balancer.Report(now, placement.MaxMeasurements)
+		for _, other := range p.balancers {
+			if balancer == other {
+				continue
 			}
+			deliver(func(now time.Time) {
+				other.UpdatePeer(now, process, localLoad)
+				if loadAware {
+					other.Merge(now, process, report)
+				}
+			})
+		}
+	}
+}
+
+// settings returns the settings of the plan's service when it is load-aware.
+func (p *Plan) settings() placement.Settings {
+	settings := placement.Settings{LoadAware: true, TokensPerEvent: p.Classes[0].EventTokens}
+	for _, class := range p.Classes {
+		pause := milliseconds(class.MaxPauseMS)
+		if pause > 0 && (settings.ShortestPause == 0 || pause < settings.ShortestPause) {
+			settings.ShortestPause = pause
 		}
 	}
+	return settings
 }
 
 func (p *routerPolicy) usesPriorities() bool { return true }
@@ -149,9 +183,9 @@
 	return decision{engine: least}
 }
 
-func (p *leastOutstanding) requestEnded(entry, engine int) { p.outstanding[entry][engine]-- }
-func (p *leastOutstanding) exchangeLoads(time.Time)        {}
-func (p *leastOutstanding) usesPriorities() bool           { return p.sendsPriority }
+func (p *leastOutstanding) requestEnded(entry, engine int)                 { p.outstanding[entry][engine]-- }
+func (p *leastOutstanding) exchangeLoads(time.Time, func(func(time.Time))) {}
+func (p *leastOutstanding) usesPriorities() bool                           { return p.sendsPriority }
 
 // roundRobin picks the engines in turn, and never refuses.
 type roundRobin struct {
@@ -164,6 +198,6 @@
 	return decision{engine: p.last[entry]}
 }
 
-func (p *roundRobin) requestEnded(int, int)   {}
-func (p *roundRobin) exchangeLoads(time.Time) {}
-func (p *roundRobin) usesPriorities() bool    { return false }
+func (p *roundRobin) requestEnded(int, int)                          {}
+func (p *roundRobin) exchangeLoads(time.Time, func(func(time.Time))) {}
+func (p *roundRobin) usesPriorities() bool                           { return false }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -46,6 +46,7 @@
 	// PrefilledTokens and Preemptions are totals over all engines.
 	PrefilledTokens ident.Tokens `json:"read"`
 	Preemptions     int          `json:"preempted"`
+	Balance         Balance      `json:"balance"`
 }
 
 func (s *OutcomeStats) add(r *request) {
@@ -117,6 +118,7 @@
 		slices.Collect(maps.Values(report.Classes)), slices.Collect(maps.Values(report.Customers))) {
 		stats.finish()
 	}
+	report.Balance = s.balanceReport()
 	for _, e := range s.engines {
 		report.PrefilledTokens += e.prefilledTokens
 		report.Preemptions += e.preemptions
@@ -165,7 +167,7 @@
 	for _, class := range plan.Classes {
 		cell("\t%s", class.ID)
 	}
-	cell("\tread, M\n")
+	cell("\tread, M\tlate\tbusiest to mean\tidle beside queue\n")
 	for _, group := range groupByPolicy(reports) {
 		cell("%s\t%s\t%s\t%s\t%s\t%s\t%s", group[0].Policy,
 			summarize(group, func(r Report) float64 { return r.Total.Worth }),
@@ -179,7 +181,11 @@
 		for _, class := range plan.Classes {
 			cell("\t%s", summarize(group, func(r Report) float64 { return statsOf(r.Classes, class.ID).Worth }))
 		}
-		cell("\t%s\n", summarize(group, func(r Report) float64 { return float64(r.PrefilledTokens) / 1e6 }))
+		cell("\t%s\t%s\t%s\t%s\n",
+			summarize(group, func(r Report) float64 { return float64(r.PrefilledTokens) / 1e6 }),
+			summarize(group, func(r Report) float64 { return r.Total.fraction(r.Total.Late) }),
+			summarize(group, func(r Report) float64 { return r.Balance.BusiestToMean }),
+			summarize(group, func(r Report) float64 { return r.Balance.IdleBesideQueue }))
 	}
 	return table.Flush()
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -76,6 +76,9 @@
 	// pending is the number of requests without an outcome.
 	pending  int
 	requests []*request
+	// reportRandom draws the losses and delays of load reports.
+	reportRandom *rand.Rand
+	balance      balanceSums
 }
 
 // Config configures one run.
@@ -91,17 +94,19 @@
 	s := &simulation{
 		plan: config.Plan, policy: newPolicy(config.Policy, config.Plan, config.Seed),
 		networkDelay: milliseconds(config.Plan.NetworkDelayMS),
+		reportRandom: rand.New(rand.NewPCG(config.Seed, 3)), //nolint:gosec // The run must be reproducible from the seed.
 	}
 	if s.policy == nil {
 		return Report{}, oops.Errorf("unknown policy %q, want one of %v", config.Policy, Policies)
 	}
 	for index := range config.Plan.Engines.Count {
-		s.engines = append(s.engines, newEngine(config.Plan.Engines, index < config.Plan.Engines.SlowCount))
+		s.engines = append(s.engines, newEngine(config.Plan.Engines, index))
 	}
 	if err := s.scheduleArrivals(config); err != nil {
 		return Report{}, err
 	}
 	s.scheduleAfter(milliseconds(s.plan.GossipMS), s.exchangeLoads)
+	s.scheduleAfter(balanceInterval, s.sampleBalance)
 	for len(s.queue) > 0 && s.pending > 0 {
 		if err := ctx.Err(); err != nil {
 			return Report{}, err
@@ -145,7 +150,7 @@
 func (s *simulation) scheduleAfter(delay time.Duration, run func()) { s.scheduleAt(s.now+delay, run) }
 
 func (s *simulation) exchangeLoads() {
-	s.policy.exchangeLoads(epoch.Add(s.now))
+	s.policy.exchangeLoads(epoch.Add(s.now), s.deliverReport)
 	s.scheduleAfter(milliseconds(s.plan.GossipMS), s.exchangeLoads)
 }
 
@@ -219,6 +224,7 @@
 	if r.firstEventAt == 0 {
 		r.firstEventAt = receivedAt
 		if r.attempt != nil {
+			s.reportLoad(r, receivedAt)
 			r.attempt.FirstEvent(epoch.Add(receivedAt))
 		}
 	} else {
--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -20,6 +20,8 @@
 	noBacklog bool
 	// unsharedTokens counts the prompt tokens that no other request shares, so that the server must prefill them.
 	unsharedTokens ident.Tokens
+	// aheadTokens counts the tokens that the server was expected to prefill before this request.
+	aheadTokens ident.Tokens
 	started        bool
 	ended          bool
 }
@@ -36,6 +38,7 @@
 	if query.Engine {
 		attempt.priority = query.PriorityLevel
 		attempt.load.Prefill[query.PriorityLevel] = choice.Uncached
+		attempt.aheadTokens = choice.Load.Prefill.upTo(query.PriorityLevel)
 		attempt.load.KVTokens = query.Prompt + query.Output
 		if b.speed.latencySensitive(query.MaxPause) {
 			attempt.load.LatencySensitive = 1
@@ -62,8 +65,8 @@
 	a.load.Prefill = PrefillTokens{}
 	if a.noBacklog {
 		a.balancer.speed.observe(a.unsharedTokens, now.Sub(a.sentAt))
-		a.server.figures.rate.observe(a.unsharedTokens, now.Sub(a.sentAt))
 	}
+	a.balancer.observeRate(a, now)
 }
 
 // Event records a further event of a stream, after the first.
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -19,8 +19,8 @@
 	cost float64
 	// gain is what the request saves at this server by parts of its prompt that are cached there; 0 or less.
 	gain float64
-	// rise is the rise of cost by one more request like this one, greater than 0.
-	rise float64
+	// perCost is the number of requests like this one that raise the cost by 1, greater than 0.
+	perCost float64
 }
 
 // chooseOption returns the index of the option that a request takes; there must be at least one.
@@ -59,7 +59,7 @@
 }
 
 // room returns how many requests the server takes until its cost reaches the level.
-func (o *option) room(level float64) float64 { return max(level-o.cost, 0) / o.rise }
+func (o *option) room(level float64) float64 { return max(level-o.cost, 0) * o.perCost }
 
 // waterLevel returns the cost up to which unseen requests have raised the cheapest options, at most goodMargin above the least cost.
 func waterLevel(options []option, unseen float64) (level, least float64) {
@@ -67,24 +67,18 @@
 	for index := range options {
 		least = min(least, options[index].cost)
 	}
-	limit := least + goodMargin
-	level = limit
+	level = least + goodMargin
 	for {
-		filled, capacity, total := 0.0, 0.0, 0.0
+		capacity, total := 0.0, 0.0
 		for index := range options {
-			if each := &options[index]; each.cost < level || each.cost == least {
-				perCost := 1 / each.rise
-				capacity += perCost
-				total += each.cost * perCost
-				filled += max(level-each.cost, 0) * perCost
+			if each := &options[index]; each.cost <= level {
+				capacity += each.perCost
+				total += each.cost * each.perCost
 			}
 		}
-		const tolerance = 1e-9
-		if filled <= unseen+tolerance {
-			return level, least
-		}
+		const tolerance = 1e-9 // Rounding errors must not prolong the loop.
 		next := max((unseen+total)/capacity, least)
-		if next >= level-tolerance*goodMargin {
+		if next >= level-tolerance {
 			return level, least
 		}
 		level = next
@@ -107,7 +101,7 @@
 	if best < 0 {
 		return -1
 	}
-	deviation := options[best].rise * math.Sqrt(unseen/float64(len(options)))
+	deviation := math.Sqrt(unseen/float64(len(options))) / options[best].perCost
 	if least+(2*random.Float64()-1)*deviation < level {
 		return best
 	}
@@ -148,7 +142,7 @@
 			each.cost = withoutCache(costOf, candidate)
 			each.gain = cost - each.cost
 		}
-		if len(candidate.attempts) > 0 || candidate.health != (health{}) {
+		if len(candidate.attempts) > 0 || candidate.health.failureRate > toleratedFailureRate {
 			each.cost += candidate.penalty(now)
 		}
 		e.options = append(e.options, each)
@@ -156,9 +150,9 @@
 			best = index
 		}
 		e.active += candidate.load.Active
-		e.prefill += candidate.load.Prefill.Total()
+		e.prefill += candidate.figures.backlog
 	}
-	b.setRises(query, costOf, b.eligible[best])
+	b.setCapacities(query, costOf, b.eligible[best])
 	kind := ordinarySend
 	if query.Engine && b.speed.latencySensitive(query.MaxPause) {
 		kind = sensitiveSend
@@ -176,8 +170,8 @@
 	return cost
 }
 
-// setRises sets by how much one more request like this one raises each option's cost: as at the best server, in proportion to the time that the servers take.
-func (b *Balancer) setRises(query Query, costOf func(*server) float64, best *server) {
+// setCapacities sets how many requests like this one raise each option's cost by 1: as at the best server, in proportion to the servers' rates.
+func (b *Balancer) setCapacities(query Query, costOf func(*server) float64, best *server) {
 	load := best.load
 	before := withoutCache(costOf, best)
 	best.load.Active++
@@ -185,9 +179,9 @@
 		best.load.Prefill[query.PriorityLevel] += query.Prompt - best.cachedTokens
 		best.load.KVTokens += query.Prompt + query.Output
 	}
-	rise := max(withoutCache(costOf, best)-before, minRise) * b.rateOf(best)
+	perCost := 1 / (max(withoutCache(costOf, best)-before, minRise) * b.rateOf(best))
 	best.load = load
 	for index, candidate := range b.eligible {
-		b.estimates.options[index].rise = rise / b.rateOf(candidate)
+		b.estimates.options[index].perCost = perCost * b.rateOf(candidate)
 	}
 }
--- a/internal/request/placement/estimate.go
+++ b/internal/request/placement/estimate.go
@@ -25,12 +25,20 @@
 // serverFigures is what the estimate of a server's load is made of besides the sends that this instance and its peers report.
 type serverFigures struct {
 	rate serverRate
+	// backlog is the sum of the prefill tokens at the server over the peers' reports.
+	backlog ident.Tokens
 	// backlogTimeMS is the sum over the peers' reports of the prefill tokens at the server times the time of the report, in milliseconds since the
 	// balancer's base time. With the sum of the tokens it gives their mean age, without a loop over the peers for each decision.
 	backlogTimeMS int64
 	measured      measurement
 }
 
+// addBacklog adds the prefill tokens of a peer's report made at a time; negative tokens remove those of an earlier report.
+func (f *serverFigures) addBacklog(tokens ident.Tokens, atMS int64) {
+	f.backlog += tokens
+	f.backlogTimeMS += int64(tokens) * atMS
+}
+
 // sender is what is known of a peer's sends.
 type sender struct {
 	perSecond [sendKinds]float64
@@ -64,10 +72,16 @@
 	meanAge          time.Duration
 	refreshedAt      time.Time
 	stale            bool
-	// active and prefill are the sums over the servers of the last decision, and servers their number.
+	// active is the sum of the requests in flight over the servers of the last decision, prefill that of the backlog in peers' reports, and servers the
+	// number of servers.
 	active  int
 	prefill ident.Tokens
 	servers int
+	// meanRate is the mean of the servers' rates in tokens per millisecond, of those with samples; 0 without any.
+	meanRate float64
+	// decidedAt is the time of the current decision, and decidedMS the same in milliseconds since base.
+	decidedAt time.Time
+	decidedMS float64
 	// options holds the servers of the current decision; its memory is reused.
 	options []option
 	balance balance
@@ -168,30 +182,31 @@
 	}
 }
 
-// estimate returns the load of a server from all router instances. At a load-aware service, prefilled is not used: each report is drained by its own age and
-// the server's own rate, and the server's newest measurement corrects the number of requests.
-func (b *Balancer) estimate(now time.Time, known *server, prefilled ident.Tokens) Load {
-	load := known.remote
+// estimate sets a server's load from all router instances. At a load-aware service, prefilled is not used: each report is drained by its own age and the
+// server's own rate, and the server's newest measurement corrects the number of requests. The load is written in place, because copies of it take a third of
+// a decision's time.
+func (b *Balancer) estimate(now time.Time, known *server, prefilled ident.Tokens) {
+	load := &known.load
+	*load = known.remote
 	if !b.settings.LoadAware {
 		load.Prefill.drain(prefilled)
 		load.add(known.local)
-		return load
+		return
 	}
-	if backlog := load.Prefill.Total(); backlog > 0 {
-		load.Prefill.drain(b.finishedSince(now, known, backlog))
+	if known.figures.backlog > 0 {
+		load.Prefill.drain(b.finishedSince(now, known))
+	}
+	if known.local.Active > 0 {
+		load.add(known.local)
 	}
-	load.add(known.local)
-	if known.figures.measured.at.IsZero() {
-		return load
+	if known.figures.measured.excess == 0 {
+		return
 	}
 	if correction := b.correction(now, known); correction != 0 {
 		load.Active = max(load.Active+correction, 0)
-		if load.Prefill.Total() > 0 || correction > 0 {
-			level := lowestBusy(&load.Prefill)
-			load.Prefill[level] = max(load.Prefill[level]+ident.Tokens(correction)*b.estimates.meanBacklog(), 0)
-		}
+		level := lowestBusy(&load.Prefill)
+		load.Prefill[level] = max(load.Prefill[level]+ident.Tokens(correction)*b.estimates.meanBacklog(), 0)
 	}
-	return load
 }
 
 // lowestBusy returns the lowest priority with a backlog, 0 if there is none.
@@ -206,10 +221,17 @@
 
 // finishedSince estimates how many of the tokens that peers reported for a server it has prefilled since. The server's rate is divided between the peers' and
 // this instance's backlog; the latter is exact and needs no correction.
-func (b *Balancer) finishedSince(now time.Time, known *server, backlog ident.Tokens) ident.Tokens {
-	ageMS := float64(b.estimates.sinceBase(now)) - float64(known.figures.backlogTimeMS)/float64(backlog)
-	share := float64(backlog) / float64(backlog+max(known.local.Prefill.Total(), 0))
-	return ident.Tokens(b.rateOf(known) * max(ageMS, 0) * share)
+func (b *Balancer) finishedSince(now time.Time, known *server) ident.Tokens {
+	backlog := float64(known.figures.backlog)
+	if b.estimates.decidedAt != now {
+		b.estimates.decidedAt, b.estimates.decidedMS = now, milliseconds(now.Sub(b.estimates.base))
+	}
+	ageMS := b.estimates.decidedMS - float64(known.figures.backlogTimeMS)/backlog
+	finished := b.rateOf(known) * max(ageMS, 0)
+	if known.local.Active > 0 {
+		finished *= backlog / (backlog + float64(max(known.local.Prefill.Total(), 0)))
+	}
+	return ident.Tokens(finished)
 }
 
 // correction returns the number of requests by which the server's newest measurement differs from the estimate at that time. It counts less as newer reports of
--- a/internal/request/placement/load.go
+++ b/internal/request/placement/load.go
@@ -25,8 +25,10 @@
 	return sum
 }
 
-// Total returns the tokens of all priorities.
-func (p *PrefillTokens) Total() ident.Tokens { return p.upTo(PriorityLevels - 1) }
+// Total returns the tokens of all priorities. It is written without a loop, since each decision calls it several times per server.
+func (p *PrefillTokens) Total() ident.Tokens {
+	return p[0] + p[1] + p[2] + p[3] + p[4] + p[5] + p[6] + p[7] + p[8] + p[9]
+}
 
 // drain subtracts tokens that have been prefilled since, the highest priority first.
 func (p *PrefillTokens) drain(tokens ident.Tokens) {
@@ -90,7 +92,7 @@
 	for id, load := range loads {
 		known := b.server(id)
 		known.remote.add(load)
-		known.figures.backlogTimeMS += int64(load.Prefill.Total()) * at
+		known.figures.addBacklog(load.Prefill.Total(), at)
 	}
 	if b.settings.LoadAware {
 		b.estimates.hear(now, from, previous)
@@ -103,7 +105,7 @@
 	for id, load := range report.loads {
 		if known := b.servers[id]; known != nil {
 			known.remote.subtract(load)
-			known.figures.backlogTimeMS -= int64(load.Prefill.Total()) * b.estimates.sinceBase(report.reportedAt)
+			known.figures.addBacklog(-load.Prefill.Total(), b.estimates.sinceBase(report.reportedAt))
 		}
 	}
 	delete(b.peers, from)
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -258,7 +258,7 @@
 				slices.Contains(query.Exclude, candidate.ID) || canWait && candidate.isFailing(now) {
 				continue
 			}
-			candidate.load = b.estimate(now, candidate, prefilled)
+			b.estimate(now, candidate, prefilled)
 			candidate.preference, candidate.reserved, candidate.cachedParts, candidate.cachedTokens = preferredCount, false, 0, 0
 			b.eligible = append(b.eligible, candidate)
 		}
--- a/internal/request/placement/rate.go
+++ b/internal/request/placement/rate.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxServerSamples is the number of samples kept per server, and priorSamples the number of samples that the service's rate counts as, so that a
+	// maxServerSamples is the number of samples kept per server, and priorSamples the number of samples that the mean of the service counts as, so that a
 	// single slow response does not make a server slow.
 	maxServerSamples = 9
 	priorSamples     = 2
@@ -28,11 +28,8 @@
 	rate float64
 }
 
-// observe adds a sample: the time to the first event of a prompt that the server prefilled without others known ahead of it.
+// observe adds a sample: the time in which the server prefilled tokens.
 func (r *serverRate) observe(tokens ident.Tokens, took time.Duration) {
-	if tokens < minLoadAwareTokens || took <= baseLatency {
-		return
-	}
 	r.samples[r.next] = float64(tokens) / milliseconds(took-baseLatency)
 	r.next = (r.next + 1) % maxServerSamples
 	r.count = min(r.count+1, maxServerSamples)
@@ -40,14 +37,37 @@
 	r.rate = sorted[int(rateQuantile*float64(r.count-1))]
 }
 
-// rateOf returns the prefill rate of a server in tokens per millisecond; that of the service unless it is load-aware.
+// observeRate uses the first event of a request as a sample of its server's rate; the caller holds mu. The prompts that were ahead count with backlogWeight,
+// because part of them was prefilled before the request arrived: otherwise servers with a backlog, the slow ones above all, would have no samples.
+func (b *Balancer) observeRate(attempt *Attempt, now time.Time) {
+	tokens := attempt.unsharedTokens + ident.Tokens(backlogWeight*float64(attempt.aheadTokens))
+	took := now.Sub(attempt.sentAt)
+	if !b.settings.LoadAware || tokens < minLoadAwareTokens || took <= baseLatency {
+		return
+	}
+	attempt.server.figures.rate.observe(tokens, took)
+	sum, count := 0.0, 0
+	for _, known := range b.members {
+		if known.figures.rate.count > 0 {
+			sum += known.figures.rate.rate
+			count++
+		}
+	}
+	b.estimates.meanRate = sum / float64(max(count, 1))
+}
+
+// rateOf returns the prefill rate of a server in tokens per millisecond; that of the service unless it is load-aware. A server without samples is assumed to have
+// the mean rate of the others, since the rate of the service is one that the slower servers do not reach.
 func (b *Balancer) rateOf(known *server) float64 {
-	own := &known.figures.rate
-	if own.count == 0 || !b.settings.LoadAware {
+	if !b.settings.LoadAware || b.estimates.meanRate <= 0 {
 		return b.speed.rate
 	}
-	mean := (priorSamples*b.speed.rate + float64(own.count)*own.rate) / float64(priorSamples+own.count)
-	return min(max(mean, minRateFactor*b.speed.rate), maxRateFactor*b.speed.rate)
+	own, mean := &known.figures.rate, b.estimates.meanRate
+	if own.count == 0 {
+		return mean
+	}
+	rate := (priorSamples*mean + float64(own.count)*own.rate) / float64(priorSamples+own.count)
+	return min(max(rate, minRateFactor*mean), maxRateFactor*mean)
 }
 
 // prefillTimeAt returns how long a server takes to prefill tokens.
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -27,9 +27,9 @@
 	prefilled := b.prefilledSince(now)
 	statuses := make([]ServerStatus, 0, len(b.members))
 	for _, candidate := range b.members {
-		total := b.estimate(now, candidate, prefilled)
+		b.estimate(now, candidate, prefilled)
 		statuses = append(statuses, ServerStatus{
-			Server: candidate.ID, Local: candidate.local, Total: total, FailureRate: candidate.health.failureRate,
+			Server: candidate.ID, Local: candidate.local, Total: candidate.load, FailureRate: candidate.health.failureRate,
 			EjectedFor: max(candidate.health.ejectedUntil.Sub(now), 0), Overdue: candidate.overdue(now),
 		})
 	}
