--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -22,8 +22,8 @@
 	unsharedTokens ident.Tokens
 	// aheadTokens counts the tokens that the server was expected to prefill before this request.
 	aheadTokens ident.Tokens
-	started        bool
-	ended          bool
+	started     bool
+	ended       bool
 }
 
 // StartAttempt records that a request is sent to the chosen server.
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -13,9 +13,12 @@
 // minRise is the smallest rise of cost per request, so that servers of equal cost share the requests.
 const minRise = 1e-6
 
+// unseenSpread scales the unseen requests. The second draw of a choice narrows the first one, which may therefore be wider than the unseen requests alone require.
+const unseenSpread = 8
+
 // option is a server as a choice sees it.
 type option struct {
-	// cost is the server's cost to a request whose prompt no engine has cached.
+	// cost is the server's cost to a request whose prompt no engine has cached, without the request's own work: with it, fast servers would be preferred twice.
 	cost float64
 	// gain is what the request saves at this server by parts of its prompt that are cached there; 0 or less.
 	gain float64
@@ -27,8 +30,9 @@
 //
 // Load pattern: many instances choose at the same moment by figures of the same age, and all would take the server that was best then, which is overloaded
 // until the next figures, and then avoided by all. unseen is the expected number of requests that the others have placed since these figures. They are
-// expected to have raised the lowest costs to one level, and the request takes a server below the level with a probability proportional to the
-// requests that fit there below it. Without unseen requests this is the server of least cost; with many it is a random server, in proportion to its speed.
+// expected to have raised the lowest costs to one level. Two servers are drawn, and the request takes the one of lower cost: one below the level, with a
+// probability proportional to the requests that fit there below it, and one of all good servers, in proportion to their speed. Without unseen requests
+// this is the server of least cost; the more there are, the more it is one of two random ones.
 //
 // A cached prefix counts against the level, not against the outdated differences below it, so that it keeps its value however old the figures are.
 func chooseOption(options []option, unseen float64, random *rand.Rand) int {
@@ -36,24 +40,39 @@
 	if index := bestGain(options, level, unseen, random); index >= 0 {
 		return index
 	}
+	level, _ = waterLevel(options, unseenSpread*unseen)
+	first := draw(options, random, func(each *option) float64 { return each.room(level) })
+	if first < 0 {
+		return randomLeast(options, least, random)
+	}
+	second := draw(options, random, func(each *option) float64 {
+		if each.cost > least+goodMargin {
+			return 0
+		}
+		return each.perCost
+	})
+	if second >= 0 && options[second].cost < options[first].cost {
+		return second
+	}
+	return first
+}
+
+// draw returns the index of a random option with a probability in proportion to its weight, or -1 if no weight is above 0.
+func draw(options []option, random *rand.Rand, weight func(*option) float64) int {
 	sum := 0.0
 	for index := range options {
-		sum += options[index].room(level)
-	}
-	if sum <= 0 {
-		return randomLeast(options, least, random)
+		sum += weight(&options[index])
 	}
-	remaining := random.Float64() * sum
-	last := 0
+	remaining, last := random.Float64()*sum, -1
 	for index := range options {
-		room := options[index].room(level)
-		if room <= 0 {
+		each := weight(&options[index])
+		if each <= 0 {
 			continue
 		}
-		if last = index; remaining < room {
+		if last = index; remaining < each {
 			break
 		}
-		remaining -= room
+		remaining -= each
 	}
 	return last
 }
@@ -158,7 +177,8 @@
 		kind = sensitiveSend
 	}
 	chosen := chooseOption(e.options, e.unseen(now, kind), b.random)
-	return b.eligible[chosen], e.options[chosen].cost + e.options[chosen].gain
+	taken := e.options[chosen]
+	return b.eligible[chosen], taken.cost + taken.gain + 1/taken.perCost
 }
 
 // withoutCache returns a server's cost to a request whose prompt it has not cached.
@@ -170,7 +190,8 @@
 	return cost
 }
 
-// setCapacities sets how many requests like this one raise each option's cost by 1: as at the best server, in proportion to the servers' rates.
+// setCapacities sets how many requests like this one raise each option's cost by 1, as at the best server and in proportion to the servers' rates, and takes
+// the request's own work out of the costs.
 func (b *Balancer) setCapacities(query Query, costOf func(*server) float64, best *server) {
 	load := best.load
 	before := withoutCache(costOf, best)
@@ -182,6 +203,8 @@
 	perCost := 1 / (max(withoutCache(costOf, best)-before, minRise) * b.rateOf(best))
 	best.load = load
 	for index, candidate := range b.eligible {
-		b.estimates.options[index].perCost = perCost * b.rateOf(candidate)
+		each := &b.estimates.options[index]
+		each.perCost = perCost * b.rateOf(candidate)
+		each.cost -= 1 / each.perCost
 	}
 }
