--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -125,10 +125,11 @@
 	return -1
 }
 
-// blur returns a random error of an option's cost: the number of unseen requests at a server deviates by its root, and the error spans one deviation. Without it,
+// blur returns a random error of an option's cost: the number of unseen requests at a server deviates by its root. Without the error,
 // instances that see the same figures go on preferring the same servers when figures are old.
 func blur(options []option, index int, unseen float64, random *rand.Rand) float64 {
-	return (random.Float64() - 0.5) * math.Sqrt(unseen/float64(len(options))) / options[index].perCost
+	const width = 3.46 // A uniform distribution of this width has a deviation of 1.
+	return width * (random.Float64() - 0.5) * math.Sqrt(unseen/float64(len(options))) / options[index].perCost
 }
 
 // randomLeast returns a random one of the options of least cost.
