--- a/internal/experiment/balance.go
+++ b/internal/experiment/balance.go
@@ -16,8 +16,8 @@
 	BusiestToMean float64 `json:"busiest_to_mean"`
 	// IdleBesideQueue is the fraction of the engines' time in which they prefill nothing while another has a queue of more than queuedMS.
 	IdleBesideQueue float64 `json:"idle_beside_queue"`
-	// LargestShare is the largest fraction of all requests that one engine got.
-	LargestShare float64 `json:"largest_share"`
+	// FirstShare is the fraction of the requests that the first engine got, the one whose figures are false if any are.
+	FirstShare float64 `json:"first_share"`
 }
 
 // queuedMS is a queue that delays requests noticeably: a tenth of the longest objective.
@@ -69,20 +69,19 @@
 
 // balanceReport returns the means over the samples.
 func (s *simulation) balanceReport() Balance {
-	counts := make([]int, len(s.engines))
+	first, total := 0, 0
 	for _, r := range s.requests {
-		if r.outcome != Refused {
-			counts[r.engine]++
+		if r.outcome == Refused {
+			continue
+		}
+		total++
+		if r.engine == 0 {
+			first++
 		}
-	}
-	largest, total := 0, 0
-	for _, count := range counts {
-		largest = max(largest, count)
-		total += count
 	}
 	return Balance{
 		BusiestToMean:   s.balance.busiestToMean / float64(max(s.balance.ratios, 1)),
 		IdleBesideQueue: s.balance.idle / float64(max(s.balance.samples, 1)),
-		LargestShare:    float64(largest) / float64(max(total, 1)),
+		FirstShare:      float64(first) / float64(max(total, 1)),
 	}
 }
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -116,6 +116,9 @@
 		{func(p *experiment.Plan) { p.Classes[0].DeadlineMS = 0 }, "deadline_ms"},
 		{func(p *experiment.Plan) { p.Classes[0].Bursts = []experiment.Burst{{From: 2, To: 1, Factor: 1}} }, "bursts"},
 		{func(p *experiment.Plan) { p.Classes[0].Priority = 10 }, "rank"},
+		{func(p *experiment.Plan) { p.Engines.Speeds = []float64{1, 0} }, "speeds"},
+		{func(p *experiment.Plan) { p.Reports.Loss = 1.1 }, "reports"},
+		{func(p *experiment.Plan) { p.Reports.DelayMS = -1 }, "reports"},
 	} {
 		plan := loadPlan(t, "burst.yaml")
 		c.change(&plan)
