--- a/internal/request/placement/choose_test.go
+++ b/internal/request/placement/choose_test.go
@@ -38,7 +38,7 @@
 func TestStaleChoice(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct{ age, factor float64 }{{100, 1.15}, {500, 1.4}} {
-		t.Run(fmt.Sprintf("%.0f ms", c.age), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%.0fms", c.age), func(t *testing.T) {
 			t.Parallel()
 			plan := replayOf(33, c.age)
 			perfect, current := replayChoices(plan, replayRules["perfect"]), replayChoices(plan, replayRules["level"])
--- a/internal/request/placement/measurement.go
+++ b/internal/request/placement/measurement.go
@@ -90,13 +90,11 @@
 	return report, true
 }
 
-// Merge applies a peer's report, which must have passed Check. Measurements of servers that this instance does not know are ignored.
+// Merge applies a peer's report, which must have passed Check. Measurements of servers that this instance does not know are ignored. Reports count before the first
+// request of the service, by which the settings become known, so that an instance that starts has them for its first decision.
 func (b *Balancer) Merge(now time.Time, from ident.Process, report LoadReport) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.settings.LoadAware {
-		return
-	}
 	e := &b.estimates
 	if known, found := e.senders[from]; found || len(e.senders) < maxSenders {
 		known.perSecond = [sendKinds]float64{ordinarySend: report.OrdinaryPerSecond, sensitiveSend: report.SensitivePerSecond}
