--- a/internal/request/placement/estimate.go
+++ b/internal/request/placement/estimate.go
@@ -24,13 +24,13 @@
 
 // serverFigures is what the estimate of a server's load is made of besides the sends that this instance and its peers report.
 type serverFigures struct {
-	rate serverRate
 	// backlog is the sum of the prefill tokens at the server over the peers' reports.
 	backlog ident.Tokens
 	// backlogTimeMS is the sum over the peers' reports of the prefill tokens at the server times the time of the report, in milliseconds since the
 	// balancer's base time. With the sum of the tokens it gives their mean age, without a loop over the peers for each decision.
 	backlogTimeMS int64
 	measured      measurement
+	rate          serverRate
 }
 
 // addBacklog adds the prefill tokens of a peer's report made at a time; negative tokens remove those of an earlier report.
@@ -82,6 +82,8 @@
 	// decidedAt is the time of the current decision, and decidedMS the same in milliseconds since base.
 	decidedAt time.Time
 	decidedMS float64
+	// correctionLimit is the largest correction of a server's requests by its measurement in the current decision.
+	correctionLimit float64
 	// options holds the servers of the current decision; its memory is reused.
 	options []option
 	balance balance
@@ -193,8 +195,11 @@
 		load.add(known.local)
 		return
 	}
+	if b.estimates.decidedAt != now {
+		b.estimates.begin(now)
+	}
 	if known.figures.backlog > 0 {
-		load.Prefill.drain(b.finishedSince(now, known))
+		load.Prefill.drain(b.finishedSince(known))
 	}
 	if known.local.Active > 0 {
 		load.add(known.local)
@@ -219,13 +224,21 @@
 	return 0
 }
 
+// begin prepares the decisions at a time.
+func (e *estimates) begin(now time.Time) {
+	e.decidedAt, e.decidedMS, e.correctionLimit = now, milliseconds(now.Sub(e.base)), 0
+	if e.servers == 0 {
+		return
+	}
+	const deviations = 2 // A Poisson count exceeds its mean by more than two deviations in 1 of 40 cases.
+	perServer := (e.unseen(now, ordinarySend) + e.unseen(now, sensitiveSend)) / float64(e.servers)
+	e.correctionLimit = min(1+perServer+deviations*math.Sqrt(perServer), measurementShare*float64(e.active))
+}
+
 // finishedSince estimates how many of the tokens that peers reported for a server it has prefilled since. The server's rate is divided between the peers' and
 // this instance's backlog; the latter is exact and needs no correction.
-func (b *Balancer) finishedSince(now time.Time, known *server) ident.Tokens {
+func (b *Balancer) finishedSince(known *server) ident.Tokens {
 	backlog := float64(known.figures.backlog)
-	if b.estimates.decidedAt != now {
-		b.estimates.decidedAt, b.estimates.decidedMS = now, milliseconds(now.Sub(b.estimates.base))
-	}
 	ageMS := b.estimates.decidedMS - float64(known.figures.backlogTimeMS)/backlog
 	finished := b.rateOf(known) * max(ageMS, 0)
 	if known.local.Active > 0 {
@@ -240,13 +253,10 @@
 	e := &b.estimates
 	measured := known.figures.measured
 	remaining := 1 - now.Sub(measured.at).Seconds()/max(e.reportInterval, time.Millisecond).Seconds()
-	if remaining <= 0 || e.servers == 0 {
+	if remaining <= 0 {
 		return 0
 	}
-	const deviations = 2 // A Poisson count exceeds its mean by more than two deviations in 1 of 40 cases.
-	unseenPerServer := (e.unseen(now, ordinarySend) + e.unseen(now, sensitiveSend)) / float64(e.servers)
-	limit := min(1+unseenPerServer+deviations*math.Sqrt(unseenPerServer), measurementShare*float64(e.active))
-	return int(math.Round(remaining * min(max(float64(measured.excess), -limit), limit)))
+	return int(math.Round(remaining * min(max(float64(measured.excess), -e.correctionLimit), e.correctionLimit)))
 }
 
 // meanBacklog returns the mean prefill backlog per request in flight.
--- a/internal/request/placement/rate.go
+++ b/internal/request/placement/rate.go
@@ -19,13 +19,14 @@
 
 // serverRate estimates the prefill rate of one server from the prefills that this instance has seen complete there.
 type serverRate struct {
-	// samples are the last maxServerSamples measured rates in tokens per millisecond; the first count of them are valid.
-	samples [maxServerSamples]float64
-	count   int
-	// next is the index that the next sample is written to.
-	next int
 	// rate is rateQuantile of the samples; 0 without samples.
 	rate float64
+	// count is the number of valid samples, the first ones.
+	count int
+	// next is the index that the next sample is written to.
+	next int
+	// samples are the last measured rates in tokens per millisecond.
+	samples [maxServerSamples]float64
 }
 
 // observe adds a sample: the time in which the server prefilled tokens.
