placement: a server that returns between two reports keeps the sums of the peers' loads

Change: such a server stays until the reports are replaced. Other services keep the code before, with that fault.

--- a/internal/request/placement/even_load_test.go
+++ b/internal/request/placement/even_load_test.go
@@ -89,6 +89,22 @@
 	is.Equal(totals["e0"], ident.Tokens(20_000-200*64))
 }
 
+// TestReturningServerKeepsItsSums guards against a negative load of a server that leaves the list and returns between two reports of a peer.
+func TestReturningServerKeepsItsSums(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	balancer := loadAwareBalancer(1, 2, 0)
+	withCandidates(balancer, engines(1))
+	withCandidates(balancer, engines(2))
+	load := placement.Load{Active: 4, Prefill: placement.PrefillTokens{0, 0, 5000}}
+	balancer.UpdatePeer(start, "peer", map[ident.Endpoint]placement.Load{"e1": load})
+	for _, status := range balancer.ServerStatuses(start) {
+		if status.Server == "e1" {
+			is.Equal(status.Total, load)
+		}
+	}
+}
+
 // TestMeasurementOutlivesNoReport guards against a measurement that counts beside the reports that include it, and against an older one that replaces a newer
 // one.
 func TestMeasurementOutlivesNoReport(t *testing.T) {
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -2,7 +2,8 @@
 //
 // Several router instances send requests to the same servers. Load reports of the servers are outdated when they arrive, and
 // many instances would act on the same report at once. The balancer therefore ignores them: it counts the requests that this
-// instance has sent, and adds what its peers report to have sent.
+// instance has sent, and adds what its peers report to have sent. At load-aware services, the servers' reports correct this within
+// limits (estimate.go), and the choice allows for the error of the estimates (choose.go).
 package placement
 
 import (
@@ -177,8 +178,11 @@
 	slices.SortFunc(b.members, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 	for id, known := range b.servers {
 		if !present[id] && len(known.attempts) == 0 {
-			delete(b.servers, id)
 			b.cache.removeServer(known)
+			if b.settings.LoadAware && known.remote != (Load{}) {
+				continue // The peers' next reports subtract this load; from a server that has returned in between, they would subtract it in vain.
+			}
+			delete(b.servers, id)
 		}
 	}
 }
