--- a/internal/request/placement/load.go
+++ b/internal/request/placement/load.go
@@ -25,13 +25,18 @@
 	return sum
 }
 
-// Total returns the tokens of all priorities.
-func (p *PrefillTokens) Total() ident.Tokens { return p.upTo(PriorityLevels - 1) }
+// Total returns the tokens of all priorities. It is written without a loop, since each decision calls it several times per server.
+func (p *PrefillTokens) Total() ident.Tokens {
+	return p[0] + p[1] + p[2] + p[3] + p[4] + p[5] + p[6] + p[7] + p[8] + p[9]
+}
 
 // drain subtracts tokens that have been prefilled since, the highest priority first.
 func (p *PrefillTokens) drain(tokens ident.Tokens) {
 	for priority := range p {
-		drained := min(max(tokens, 0), max(p[priority], 0))
+		if tokens <= 0 {
+			return
+		}
+		drained := min(tokens, max(p[priority], 0))
 		p[priority] -= drained
 		tokens -= drained
 	}
@@ -80,18 +85,27 @@
 func (b *Balancer) UpdatePeer(now time.Time, from ident.Process, loads map[ident.Endpoint]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	previous := b.peers[from].reportedAt
 	b.removePeer(from)
 	b.peers[from] = peerReport{reportedAt: now, loads: loads}
+	at := b.estimates.sinceBase(now)
 	for id, load := range loads {
-		b.server(id).remote.add(load)
+		known := b.server(id)
+		known.remote.add(load)
+		known.evidence.addBacklog(load.Prefill.Total(), at)
+	}
+	if b.settings.LoadAware {
+		b.estimates.hear(now, from, previous)
 	}
 }
 
 // removePeer removes a peer's report and its load; the caller holds mu.
 func (b *Balancer) removePeer(from ident.Process) {
-	for id, load := range b.peers[from].loads {
+	report := b.peers[from]
+	for id, load := range report.loads {
 		if known := b.servers[id]; known != nil {
 			known.remote.subtract(load)
+			known.evidence.addBacklog(-load.Prefill.Total(), b.estimates.sinceBase(report.reportedAt))
 		}
 	}
 	delete(b.peers, from)
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -68,6 +68,8 @@
 	ConfigAgeMS int64 `cbor:"17,keyasint,omitempty"`
 	// Health is what the sender knows from its own requests about the health of the plain servers of load-aware services, by service.
 	Health map[ident.Pool]placement.HealthReport `cbor:"15,keyasint,omitempty"`
+	// Measured are the sender's rates of sends and the newest load figures of servers, by load-aware service.
+	Measured map[ident.Pool]placement.LoadReport `cbor:"16,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -141,6 +143,7 @@
 		}
 		g.mergeSpeeds(now, received)
 		g.mergeHealth(now, received)
+		g.mergeMeasured(now, received)
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
@@ -241,7 +244,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()),
+		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()), Measured: r.measuredLoads(time.Now()),
 	}
 	if outgoing.Version > 0 {
 		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
