Streams take the server of least cost with the error of its estimate; other requests choose among closer servers

Change: leastUncertain for latency-sensitive streams, goodMargin 0.12 instead of 0.3; at most 16 measurements in a datagram.

--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -8,7 +8,7 @@
 
 // goodMargin is the cost above that of the best server up to which a server is good enough for a random choice. It is below the cost of using an engine that
 // is reserved for other requests, and equals a failure rate of 0.45.
-const goodMargin = 0.3
+const goodMargin = 0.12
 
 // minRise is the smallest rise of cost per request, so that servers of equal cost share the requests.
 const minRise = 1e-6
@@ -56,6 +56,20 @@
 	return first
 }
 
+// leastUncertain returns the option of least cost, each cost with a random error as large as that of its estimate. Unlike chooseOption it keeps the
+// differences that the error does not explain: latency-sensitive streams use few servers, and on one that is too slow all of them are late.
+func leastUncertain(options []option, unseen float64, random *rand.Rand) int {
+	best, least := 0, math.Inf(1)
+	for index := range options {
+		each := &options[index]
+		// Half of the error, because what the servers share of it does not change their order.
+		if cost := each.cost + each.gain + 1/each.perCost + blur(options, index, unseen, random)/2; cost < least {
+			best, least = index, cost
+		}
+	}
+	return best
+}
+
 // draw returns the index of a random option with a probability in proportion to its weight, or -1 if no weight is above 0.
 func draw(options []option, random *rand.Rand, weight func(*option) float64) int {
 	sum := 0.0
@@ -174,11 +188,12 @@
 		e.prefill += candidate.evidence.backlog
 	}
 	b.setCapacities(query, costOf, b.eligible[best])
-	kind := ordinarySend
+	var chosen int
 	if b.speed.latencySensitive(query.MaxPause) {
-		kind = sensitiveSend
+		chosen = leastUncertain(e.options, e.unseen(now, sensitiveSend), b.random)
+	} else {
+		chosen = chooseOption(e.options, e.unseen(now, ordinarySend), b.random)
 	}
-	chosen := chooseOption(e.options, e.unseen(now, kind), b.random)
 	taken := e.options[chosen]
 	return b.eligible[chosen], taken.cost + taken.gain + 1/taken.perCost
 }
--- a/internal/request/placement/measurement.go
+++ b/internal/request/placement/measurement.go
@@ -12,7 +12,7 @@
 )
 
 // MaxMeasurements is the number of measurements in a datagram.
-const MaxMeasurements = 64
+const MaxMeasurements = 16
 
 const (
 	// measurementTTL is how long a measurement is passed on.
