--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -127,6 +127,7 @@
 		process := ident.Process(strconv.Itoa(from))
 		localLoad := balancer.LocalLoad()
 		report, loadAware := balancer.Report(now, placement.MaxMeasurements)
+		speeds, hasSpeeds := balancer.SpeedReport(now)
 		for _, other := range p.balancers {
 			if balancer == other {
 				continue
@@ -136,6 +137,9 @@
 				if loadAware {
 					other.Merge(now, process, report)
 				}
+				if hasSpeeds {
+					other.MergeSpeeds(now, process, speeds)
+				}
 			})
 		}
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -229,6 +229,9 @@
 		}
 	} else {
 		r.maxPause = max(r.maxPause, receivedAt-r.lastEventAt)
+		if r.attempt != nil {
+			r.attempt.Event(epoch.Add(receivedAt))
+		}
 	}
 	r.lastEventAt = receivedAt
 	if !done {
