Fair shares of a load-aware engine service between its customers: first version

Cause: one customer with many times its usual demand makes the requests of all others late or refused. Change: internal/request/fairshare counts the work by customer over all instances (gossip key 14) and computes the max-min share while the service is short of capacity; forward refuses requests of customers over their share and admits those below it up to a queue delay of 4/3 of the limit.

--- /dev/null
+++ b/internal/request/fairshare/fairshare.go
@@ -0,0 +1,260 @@
+// Package fairshare shares the capacity of a service between its customers while the service is short of it.
+//
+// Each customer with demand gets the same share, and what it leaves unused goes to the others (max-min fairness). Demand and use are
+// decayed sums of work over all router instances. The package reads no clock and draws no random numbers: the caller passes both.
+package fairshare
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"vanillapond/pkg/ident"
+)
+
+// Limits of the state of a Controller.
+const (
+	// maxCustomers is the number of customers of which the sums of this instance, and those of all peers together, are kept. Smaller
+	// ones are added up as others.
+	maxCustomers = 256
+	// maxPeers is the number of peers whose reports are kept. It is above the largest fleet, of 410 instances.
+	maxPeers = 512
+)
+
+const (
+	// decayPeriod is the time constant of the decaying sums.
+	decayPeriod = 5 * time.Second
+	// settlingTime is how long sums are collected before a request is refused because of them: the first requests after a start would
+	// otherwise decide which customer is over its share.
+	settlingTime = time.Second
+	// ShareFactor is by how much longer a queue delay may be for a customer below its share than for other requests. With it, admission
+	// refuses such requests only from a queue delay of the full objective on, which is when they would be late in any case.
+	ShareFactor = 4.0 / 3
+	// floorFraction is the fraction of a customer's share that all its requests get alike. The rest goes to its most urgent ones first. It
+	// leaves each class a little more than a quarter of the customer's average.
+	floorFraction = 0.3
+)
+
+// Limits of the time to retry after.
+const (
+	// minRetryAfter is the shortest time: several round trips, so that the retries cause no significant load.
+	minRetryAfter = 300 * time.Millisecond
+	// maxRetryAfter is the longest time: by then the sums have been replaced by later ones.
+	maxRetryAfter = decayPeriod
+	// retryJitter is the largest fraction by which the time is extended, so that requests that are refused together do not return together.
+	retryJitter = 0.5
+)
+
+// Request describes a request of a customer and the state of the best server for it.
+type Request struct {
+	Customer ident.Customer
+	Priority PriorityLevel
+	Work     Work
+	// Digest is the same for a request that is repeated.
+	Digest uint64
+	// QueueDelay is how long the best server will prefill the prompts that are ahead of the request, Waited the time since the arrival of
+	// the request, and Objective that for the time to the first event; an Objective of 0 means none.
+	QueueDelay, Waited, Objective time.Duration
+	// Counted is set if this request was passed before and only the decision is repeated, so that its demand counts once.
+	Counted bool
+	// Instances is the number of router instances that are known to run, this one included; 0 means unknown.
+	Instances int
+	// Random is a random number between 0 and 1, for jitter.
+	Random float64
+}
+
+// Decision is the decision on a request.
+type Decision struct {
+	// Refuse reports that the customer is over its share; RetryAfter is then the time to retry after.
+	Refuse     bool
+	RetryAfter time.Duration
+	// Short reports whether the service is short of capacity, and BelowShare whether the customer then gets all that it asks for.
+	Short, BelowShare bool
+	// Fraction is the customer's use in relation to its share; 0 while the service is not short.
+	Fraction float64
+}
+
+// QueueDelay returns the queue delay by which admission decides: that of a customer below its share is reduced by ShareFactor, since it is
+// caused by other customers.
+func (d Decision) QueueDelay(delay time.Duration) time.Duration {
+	if d.BelowShare {
+		return time.Duration(float64(delay) / ShareFactor)
+	}
+	return delay
+}
+
+// Controller shares the capacity of one service between its customers.
+//
+// Load pattern: one or a few customers demand many times what they usually do. If each request were judged by its queue delay alone, all
+// customers would be refused in proportion to their demand, and the requests of those with usual demand would be late. By refusing only what
+// exceeds a customer's share, the others are served as before. Each instance admits the same fraction of a customer's demand, so that the
+// decision does not depend on which instances the customer's requests arrive at, and does not switch with the age of peers' reports.
+//
+// It is safe for concurrent use.
+type Controller struct {
+	mu sync.Mutex
+	// time is the reference of all sums; guarded by mu, as all fields below.
+	time timeScale
+	// own holds the sums of requests at this instance, at most maxCustomers, and ownOthers those of all other customers.
+	own       map[ident.Customer]*sums
+	ownOthers sums
+	// startedAt is when the first request was counted; zero before.
+	startedAt time.Time
+	remote    remoteSums
+	capacity  capacity
+	returns   returns
+	// demands is the memory for computing the level, which is reused.
+	demands []float64
+	// refusedCount counts the requests that were refused because of a share.
+	refusedCount uint64
+}
+
+// New returns a controller that has counted nothing.
+func New() *Controller {
+	return &Controller{own: make(map[ident.Customer]*sums), remote: newRemoteSums(), returns: newReturns()}
+}
+
+// Decide counts the demand of a request and reports whether its customer is over its share. The caller must call Admit if the request is
+// then admitted, and Refused if it is refused for another reason.
+func (c *Controller) Decide(now time.Time, request Request) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	priority := request.Priority.clamped()
+	account := c.account(now, request.Customer)
+	c.capacity.observe(now, request)
+	if c.capacity.needsRefresh(now) {
+		c.refresh(now, request.Instances)
+	}
+	decision := c.decide(now, request, account)
+	if !request.Counted {
+		account.asked[priority] += c.time.scaled(max(request.Work, 0))
+	}
+	if decision.Refuse {
+		c.refusedCount++
+		c.returns.record(now, request.Digest, decision.RetryAfter)
+	}
+	return decision
+}
+
+// decide decides on a request whose demand is not counted yet, so that its size makes no difference; the caller holds mu.
+func (c *Controller) decide(now time.Time, request Request, account *sums) Decision {
+	if !c.capacity.short {
+		return Decision{}
+	}
+	priority := request.Priority.clamped()
+	grant := c.grant(request.Customer, account, priority)
+	decision := Decision{Short: true, BelowShare: grant.customer >= 1, Fraction: grant.used}
+	if grant.customer >= 1 || now.Sub(c.startedAt) < settlingTime {
+		return decision
+	}
+	fraction := grant.request
+	if c.returns.early(now, request.Digest) {
+		fraction = min(fraction, floorFraction*grant.customer)
+	}
+	if granted := fraction * account.asked[priority]; account.used[priority] > granted {
+		decision.Refuse = true
+		decision.RetryAfter = retryAfter(account.used[priority]/granted, fraction, request.Random)
+	}
+	return decision
+}
+
+// Admit counts the use of an admitted request.
+func (c *Controller) Admit(now time.Time, request Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	c.account(now, request.Customer).used[request.Priority.clamped()] += c.time.scaled(max(request.Work, 0))
+}
+
+// Refused records that admission refused a request for another reason than its customer's share: the service is short.
+func (c *Controller) Refused(now time.Time, request Request, retryAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	c.capacity.raise(now, 1)
+	c.returns.record(now, request.Digest, retryAfter)
+}
+
+// ReturnedEarly reports whether a request was refused and is repeated before the time to retry after.
+func (c *Controller) ReturnedEarly(now time.Time, digest uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.returns.early(now, digest)
+}
+
+// Status describes the state of a service.
+type Status struct {
+	// Short reports whether the service is short of capacity, and Over how many customers ask for more than their share.
+	Short bool
+	Over  int
+	// Refused is the number of requests that were refused because of a share.
+	Refused uint64
+}
+
+// Status returns the state of the service.
+func (c *Controller) Status(now time.Time, instances int) Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	if c.capacity.needsRefresh(now) {
+		c.refresh(now, instances)
+	}
+	status := Status{Short: c.capacity.short, Refused: c.refusedCount}
+	if status.Short {
+		status.Over = c.capacity.over
+	}
+	return status
+}
+
+// grant is what a customer may use.
+type grant struct {
+	// customer is the fraction of the customer's demand that is its share, and request that of its demand with the request's priority.
+	customer, request float64
+	// used is the customer's use in relation to its share.
+	used float64
+}
+
+// grant returns what a customer may use of its demand with a priority; the caller holds mu.
+func (c *Controller) grant(customer ident.Customer, account *sums, priority PriorityLevel) grant {
+	unit, level := c.time.unit()*c.capacity.fleetScale, c.capacity.level
+	remote := c.remote.customers[customer]
+	var total, moreUrgent, same, used float64
+	for at := range account.asked {
+		asked := account.asked[at]
+		used += account.used[at]
+		if remote != nil {
+			asked += max(remote.asked[at], 0)
+		}
+		total += asked
+		switch {
+		case PriorityLevel(at) < priority:
+			moreUrgent += asked
+		case PriorityLevel(at) == priority:
+			same = asked
+		}
+	}
+	if remote != nil {
+		used += remote.usedTotal()
+	}
+	total *= unit
+	result := grant{customer: 1, request: 1, used: used * unit / level}
+	if total <= level {
+		return result
+	}
+	result.customer = level / total
+	if same > 0 {
+		byUrgency := ((1-floorFraction)*level - (1-floorFraction*result.customer)*moreUrgent*unit) / ((1 - floorFraction*result.customer) * same * unit)
+		floor := floorFraction * result.customer
+		result.request = floor + (1-floor)*min(max(byUrgency, 0), 1)
+	}
+	return result
+}
+
+// retryAfter returns the time to retry after for a customer that has used excess times what it may use, and of whose requests a fraction is
+// admitted. By then the sums have decayed to what it may use, and on average one repetition in minRetryAfter is admitted.
+func retryAfter(excess, fraction, random float64) time.Duration {
+	after := max(float64(decayPeriod)*math.Log(excess), float64(minRetryAfter)/max(fraction, 1e-3))
+	after = min(max(after, float64(minRetryAfter)), float64(maxRetryAfter))
+	return time.Duration(after * (1 + retryJitter*random))
+}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -15,6 +15,7 @@
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
 	"vanillapond/internal/version/routes"
@@ -64,6 +65,10 @@
 	Balancer func(ident.Pool) *placement.Balancer
 	// Admission returns the priority admission control of a service's requests.
 	Admission func(ident.Pool) *admission.Controller
+	// Shares returns what shares a load-aware engine service between its customers, and Instances the number of router instances, 0 if it is
+	// not known; nil for Shares means that customers have no shares.
+	Shares    func(ident.Pool) *fairshare.Controller
+	Instances func() int
 	// Budget returns the retry budget of a service.
 	Budget   func(ident.Pool) *retry.Budget
 	Suspects Suspects
@@ -137,6 +142,8 @@
 	// Duration is the time until the request ended.
 	TimeToFirstByte, Duration time.Duration
 	Objective                 time.Duration
+	// ShareFraction is the customer's use in relation to its share of the service, 0 if the service was not short of capacity.
+	ShareFraction float64
 	// Parts are the ids of the first shared parts of the prompt, at most maxLoggedParts.
 	Parts []quarantine.Part
 	// QuarantinedPart is the part for which the request was refused, or let through as a trial; 0 if it has none.
@@ -216,6 +223,8 @@
 	software ident.Software
 	// stream is the id of the caller's request that brought the first event; empty if it is not known.
 	stream ident.Request
+	// demandCounted is set once the request was counted as demand of its customer.
+	demandCounted bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -189,10 +189,15 @@
 	if !c.query.Engine || c.serversTried > 0 || c.begun {
 		return nil
 	}
+	share := c.checkShare(now, choice)
+	if share.Refuse {
+		return unavailable(reasonOverShare, share.RetryAfter)
+	}
 	decision := c.forwarder.config.Admission(c.service).Decide(now, admission.PriorityLevel(c.query.PriorityLevel), admission.Request{
-		QueueDelay: choice.QueueDelay, Objective: c.query.Objective, Waited: now.Sub(c.arrived),
+		QueueDelay: share.QueueDelay(choice.QueueDelay), Objective: c.query.Objective, Waited: now.Sub(c.arrived),
 		Random: rand.Float64(), //nolint:gosec // Only spreads load.
 	})
+	c.countShare(now, choice, decision)
 	switch {
 	case decision.Admit:
 		return nil
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -16,6 +16,7 @@
 	"vanillapond/internal/process/peers"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/usage"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/pkg/ident"
@@ -58,6 +59,8 @@
 	Limits []servers.LimitReport `cbor:"11,keyasint,omitempty"`
 	// Origins is about streams and where they began.
 	Origins originMessage `cbor:"12,keyasint"`
+	// CustomerUse is what customers have asked for and used at the sender, by load-aware engine service.
+	CustomerUse fairshare.Reports `cbor:"14,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -135,6 +138,7 @@
 			g.router.servers.MarkLeaving(leaving)
 		}
 		g.mergeLimits(received)
+		g.router.mergeCustomerUse(now, received.Process, received.CustomerUse)
 		g.router.origins.receive(received.Process, received.Origins, func(datagram []byte) { g.writeTo(unmapped(from), datagram) })
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
@@ -217,7 +221,7 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(),
+		Limits: r.servers.LimitReports(), CustomerUse: fairshare.Collect(time.Now(), r.shares.all()),
 	}
 	if r.peers.WriteFailed() {
 		outgoing.Incarnation, outgoing.UsageUntilMS, outgoing.Usage = r.incarnation, r.peers.AgreedTime().UnixMilli(), r.counter.Counts()
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -94,7 +94,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.quarantineEvents, m.crashes)
-	m.registry.MustRegister(retryBudgetCollector{r})
+	m.registry.MustRegister(retryBudgetCollector{r}, shareCollector{r})
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -210,6 +210,9 @@
 		"pause_ms", record.LongestPause.Milliseconds(), "max_pause_ms", record.MaxPause.Milliseconds(),
 		"took_ms", record.Duration.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
+	if record.ShareFraction > 0 {
+		pairs = append(pairs, "share", strconv.FormatFloat(record.ShareFraction, 'f', 2, 64))
+	}
 	broken := false
 	for _, attempt := range record.Attempts {
 		pairs = append(pairs,
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -27,6 +27,7 @@
 	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
@@ -94,6 +95,8 @@
 	balancers            *perService[*placement.Balancer]
 	admissionControllers *perService[*admission.Controller]
 	retryBudgets         *perService[*retry.Budget]
+	// shares holds what shares each load-aware engine service between its customers.
+	shares *perService[*fairshare.Controller]
 }
 
 // softMemoryLimitFraction is the fraction of the memory limit above which the garbage collector runs more often.
@@ -117,6 +120,7 @@
 		configuration:        &routes.Current{},
 		balancers:            newPerService(func() *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
 		admissionControllers: newPerService(func() *admission.Controller { return &admission.Controller{} }),
+		shares:               newPerService(fairshare.New),
 		health:               health{recovered: make(chan struct{})},
 	}
 	r.retryBudgets = newPerService(r.newRetryBudget)
@@ -218,9 +222,9 @@
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
-		Admission: r.admissionControllers.get,
-		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
+		Admission: r.admissionControllers.get, Shares: r.shares.get, Instances: r.knownInstances,
+		Budget:   r.retryBudgets.get,
+		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"),
 		MaxKeyAge:     func() time.Duration { return fraction(keyStaleFraction, r.bounds().Revoke) },
