--- a/internal/request/fairshare/fairshare.go
+++ b/internal/request/fairshare/fairshare.go
@@ -24,8 +24,8 @@
 const (
 	// decayPeriod is the time constant of the decaying sums.
 	decayPeriod = 5 * time.Second
-	// settlingTime is how long sums are collected before a request is refused because of them: the first requests after a start would
-	// otherwise decide which customer is over its share.
+	// settlingTime is how long sums are collected before a request is refused because of them: otherwise the first requests after a start
+	// would decide which customer is over its share.
 	settlingTime = time.Second
 	// ShareFactor is by how much longer a queue delay may be for a customer below its share than for other requests. With it, admission
 	// refuses such requests only from a queue delay of the full objective on, which is when they would be late in any case.
@@ -55,8 +55,6 @@
 	// QueueDelay is how long the best server will prefill the prompts that are ahead of the request, Waited the time since the arrival of
 	// the request, and Objective that for the time to the first event; an Objective of 0 means none.
 	QueueDelay, Waited, Objective time.Duration
-	// Counted is set if this request was passed before and only the decision is repeated, so that its demand counts once.
-	Counted bool
 	// Instances is the number of router instances that are known to run, this one included; 0 means unknown.
 	Instances int
 	// Random is a random number between 0 and 1, for jitter.
@@ -101,10 +99,16 @@
 	// startedAt is when the first request was counted; zero before.
 	startedAt time.Time
 	remote    remoteSums
-	capacity  capacity
-	returns   returns
-	// demands is the memory for computing the level, which is reused.
-	demands []float64
+	// outstanding is the work of this instance's admitted requests that have got no first event yet, and recent that of those that have got one.
+	outstanding Work
+	recent      recentWork
+
+	capacity capacity
+	returns  returns
+	// demands and sorted are the memory for computing the level, which is reused.
+	demands []demand
+	sorted  []float64
+
 	// refusedCount counts the requests that were refused because of a share.
 	refusedCount uint64
 }
@@ -114,8 +118,9 @@
 	return &Controller{own: make(map[ident.Customer]*sums), remote: newRemoteSums(), returns: newReturns()}
 }
 
-// Decide counts the demand of a request and reports whether its customer is over its share. The caller must call Admit if the request is
-// then admitted, and Refused if it is refused for another reason.
+// Decide reports whether the customer of a request is over its share. The decision may be repeated while the request waits. The caller must call
+// Admit if the request is then admitted, and Refused if it is refused for another reason. Demand is counted once for a request, when it is
+// admitted or refused for its share.
 func (c *Controller) Decide(now time.Time, request Request) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -127,17 +132,17 @@
 		c.refresh(now, request.Instances)
 	}
 	decision := c.decide(now, request, account)
-	if !request.Counted {
-		account.asked[priority] += c.time.scaled(max(request.Work, 0))
-	}
 	if decision.Refuse {
+		if !c.returns.counted(request.Digest) {
+			account.asked[priority] += c.time.scaled(max(request.Work, 0))
+		}
 		c.refusedCount++
-		c.returns.record(now, request.Digest, decision.RetryAfter)
+		c.returns.record(request.Digest, refusal{due: now.Add(decision.RetryAfter), counted: true})
 	}
 	return decision
 }
 
-// decide decides on a request whose demand is not counted yet, so that its size makes no difference; the caller holds mu.
+// decide decides without the work of the request itself, so that its size makes no difference; the caller holds mu.
 func (c *Controller) decide(now time.Time, request Request, account *sums) Decision {
 	if !c.capacity.short {
 		return Decision{}
@@ -159,12 +164,19 @@
 	return decision
 }
 
-// Admit counts the use of an admitted request.
+// Admit counts the use of an admitted request. The caller must call Served or Dropped later with the same work.
 func (c *Controller) Admit(now time.Time, request Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(now)
-	c.account(now, request.Customer).used[request.Priority.clamped()] += c.time.scaled(max(request.Work, 0))
+	account, priority, amount := c.account(now, request.Customer), request.Priority.clamped(), c.time.scaled(max(request.Work, 0))
+	account.used[priority] += amount
+	if !c.returns.remove(request.Digest) {
+		account.asked[priority] += amount
+	}
+	// The demand of a request that was refused first has decayed since it was counted.
+	account.asked[priority] = max(account.asked[priority], account.used[priority])
+	c.outstanding += max(request.Work, 0)
 }
 
 // Refused records that admission refused a request for another reason than its customer's share: the service is short.
@@ -173,7 +185,24 @@
 	defer c.mu.Unlock()
 	c.advance(now)
 	c.capacity.raise(now, 1)
-	c.returns.record(now, request.Digest, retryAfter)
+	c.returns.record(request.Digest, refusal{due: now.Add(retryAfter), counted: c.returns.counted(request.Digest)})
+}
+
+// Served counts the work of an admitted request when its first event arrives.
+func (c *Controller) Served(now time.Time, work Work) {
+	work = max(work, 0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.advance(now)
+	c.outstanding = max(c.outstanding-work, 0)
+	c.recent.add(now, work)
+}
+
+// Dropped counts that an admitted request ended without a first event.
+func (c *Controller) Dropped(work Work) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outstanding = max(c.outstanding-max(work, 0), 0)
 }
 
 // ReturnedEarly reports whether a request was refused and is repeated before the time to retry after.
@@ -217,7 +246,7 @@
 
 // grant returns what a customer may use of its demand with a priority; the caller holds mu.
 func (c *Controller) grant(customer ident.Customer, account *sums, priority PriorityLevel) grant {
-	unit, level := c.time.unit()*c.capacity.fleetScale, c.capacity.level
+	unit, level := c.time.unit()*c.capacity.fleetScale, c.capacity.overLevel
 	remote := c.remote.customers[customer]
 	var total, moreUrgent, same, used float64
 	for at := range account.asked {
@@ -238,11 +267,12 @@
 		used += remote.usedTotal()
 	}
 	total *= unit
-	result := grant{customer: 1, request: 1, used: used * unit / level}
-	if total <= level {
+	result := grant{customer: 1, request: 1, used: used * unit / c.capacity.level}
+	if total <= c.capacity.level {
 		return result
 	}
 	result.customer = level / total
+	result.used = used * unit / level
 	if same > 0 {
 		byUrgency := ((1-floorFraction)*level - (1-floorFraction*result.customer)*moreUrgent*unit) / ((1 - floorFraction*result.customer) * same * unit)
 		floor := floorFraction * result.customer
--- a/internal/request/fairshare/remote.go
+++ b/internal/request/fairshare/remote.go
@@ -10,6 +10,15 @@
 // peerTTL is how long a peer's report is used: three times the longest interval between two.
 const peerTTL = 3 * time.Second
 
+// Limits of what a peer reports as outstanding and as served.
+const (
+	// maxServed is the largest ratio of this work to the used work. The use has decayed since, for a few seconds at most.
+	maxServed = 2
+	// maxRecent is by how much the recent rate may be above the mean one, by the ratio of their periods.
+
+	maxRecent = float64(decayPeriod) / float64(recentPeriod)
+)
+
 // limitTolerance is by how much the limit of a peer's weight may change before the peer's sums are counted anew.
 const limitTolerance = 0.01
 
@@ -33,6 +42,8 @@
 	entries    []peerEntry
 	// asked is the demand in the report, and factor that by which its sums are counted.
 	asked, factor float64
+	// outstanding is the work without a first event, and recent what would be served in decayPeriod at the recent rate, as of the report.
+	outstanding, recent float64
 }
 
 // peerEntry is a part of a peer's report and where it is counted.
@@ -57,12 +68,18 @@
 		peer.entries = append(peer.entries, peerEntry{sums: entry.sums(growth), customer: entry.Customer, into: r.customer(entry.Customer)})
 	}
 	peer.entries = append(peer.entries, peerEntry{sums: report.Others.sums(growth), into: &r.others})
+	var used [PriorityLevels]float64
 	for at := range peer.entries {
 		entry := &peer.entries[at]
 		entry.into.add(&entry.sums, 1)
+		used[0] += entry.usedTotal()
 		entry.into.reports++
 		peer.asked += entry.askedTotal()
 	}
+	mostServed := maxServed * total(&used) / growth
+	peer.outstanding = min(float64(report.Outstanding), mostServed)
+	peer.recent = min(float64(report.Recent), maxRecent*mostServed)
+
 	r.peers[process] = peer
 }
 
@@ -99,6 +116,22 @@
 	delete(r.peers, process)
 }
 
+// outstanding returns the work of peers' requests without a first event.
+func (r *remoteSums) outstanding() (sum float64) {
+	for _, peer := range r.peers {
+		sum += peer.outstanding * peer.factor
+	}
+	return sum
+}
+
+// recent returns what peers would serve in decayPeriod at their recent rates.
+func (r *remoteSums) recent() (sum float64) {
+	for _, peer := range r.peers {
+		sum += peer.recent * peer.factor
+	}
+	return sum
+}
+
 // expire removes the reports that are older than peerTTL.
 func (r *remoteSums) expire(now time.Time) {
 	for process, peer := range r.peers {
@@ -146,6 +179,7 @@
 	}
 	for _, peer := range r.peers {
 		peer.asked *= factor
+
 		for at := range peer.entries {
 			peer.entries[at].multiply(factor)
 		}
--- a/internal/request/fairshare/report.go
+++ b/internal/request/fairshare/report.go
@@ -35,6 +35,9 @@
 	Customers []CustomerReport `cbor:"1,keyasint,omitempty"`
 	// Others are the sums of all customers that are not listed.
 	Others CustomerReport `cbor:"2,keyasint"`
+	// Outstanding is the admitted work without a first event, and Recent what would be served in decayPeriod at the recent rate.
+	Outstanding uint64 `cbor:"3,keyasint,omitempty"`
+	Recent      uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Reports holds an instance's reports by service.
@@ -75,6 +78,9 @@
 			return err
 		}
 	}
+	if r.Outstanding > maxReportedWork || r.Recent > maxReportedWork {
+		return oops.Errorf("report of customers' use: found %d and %d of outstanding and recent work, want at most %d", r.Outstanding, r.Recent, maxReportedWork)
+	}
 	return r.Others.Check()
 }
 
@@ -93,7 +99,7 @@
 }
 
 // serviceOverhead is the encoded size in bytes of a service's report without names and customers.
-const serviceOverhead = 16
+const serviceOverhead = 40
 
 // size returns an upper bound of the encoded size in bytes.
 func (r CustomerReport) size() int {
@@ -164,7 +170,10 @@
 		}
 		others.add(c.own[entry.Customer], 1)
 	}
-	return Report{Customers: kept, Others: others.report("", unit)}
+	return Report{
+		Customers: kept, Others: others.report("", unit), Outstanding: uint64(min(c.outstanding, maxReportedWork)),
+		Recent: uint64(min(c.recent.perDecayPeriod(now), maxReportedWork)),
+	}
 }
 
 // report returns the sums, rounded to tokens.
@@ -203,4 +212,5 @@
 	c.advance(now)
 	c.remote.expire(now)
 	c.remote.replace(now, process, report, c.time.growth)
+	c.remote.limitHeaviest(c.ownAsked())
 }
--- a/internal/request/fairshare/sums.go
+++ b/internal/request/fairshare/sums.go
@@ -101,6 +101,7 @@
 		account.multiply(factor)
 	}
 	c.ownOthers.multiply(factor)
+
 	c.remote.multiply(factor)
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -223,8 +223,9 @@
 	software ident.Software
 	// stream is the id of the caller's request that brought the first event; empty if it is not known.
 	stream ident.Request
-	// demandCounted is set once the request was counted as demand of its customer.
-	demandCounted bool
+	// shares is where the request was counted as admitted, nil if it was not, and shareWork its work there, 0 once its first event has arrived.
+	shares    *fairshare.Controller
+	shareWork fairshare.Work
 }
 
 // ServeHTTP implements http.Handler.
@@ -262,6 +263,7 @@
 	} else {
 		c.run()
 	}
+	c.endShare()
 	c.endTrial()
 }
 
--- a/internal/request/forward/share.go
+++ b/internal/request/forward/share.go
@@ -18,14 +18,12 @@
 	return c.forwarder.config.Shares != nil && c.query.Engine && c.forwarder.config.Current.Table().LoadAware(c.service)
 }
 
-// checkShare counts the request as demand of its customer and decides whether the customer is over its share. The zero decision is that of a
-// service that is not short of capacity.
+// checkShare decides whether the request's customer is over its share. The zero decision is that of a service that is not short of capacity.
 func (c *call) checkShare(now time.Time, choice placement.Choice) fairshare.Decision {
-	if !c.hasShares() {
+	if !c.hasShares() || c.shares != nil {
 		return fairshare.Decision{}
 	}
 	decision := c.forwarder.config.Shares(c.service).Decide(now, c.shareRequest(now, choice))
-	c.demandCounted = true
 	c.record.ShareFraction = decision.Fraction
 	return decision
 }
@@ -33,18 +31,36 @@
 // countShare counts what admission decided on a request whose customer is not over its share.
 func (c *call) countShare(now time.Time, choice placement.Choice, decision admission.Decision) {
 	switch {
-	case !c.hasShares():
+	case !c.hasShares() || c.shares != nil:
 	case decision.Admit:
-		c.forwarder.config.Shares(c.service).Admit(now, c.shareRequest(now, choice))
+		request := c.shareRequest(now, choice)
+		c.shares, c.shareWork = c.forwarder.config.Shares(c.service), request.Work
+		c.shares.Admit(now, request)
 	default:
 		c.forwarder.config.Shares(c.service).Refused(now, c.shareRequest(now, choice), decision.RetryAfter)
 	}
 }
 
+// countFirstEvent counts the request as served in the shares of its service.
+func (c *call) countFirstEvent(now time.Time) {
+	if c.shareWork > 0 {
+		c.shares.Served(now, c.shareWork)
+		c.shareWork = 0
+	}
+}
+
+// endShare ends the wait for the first event in the shares of the request's service.
+func (c *call) endShare() {
+	if c.shareWork > 0 {
+		c.shares.Dropped(c.shareWork)
+		c.shareWork = 0
+	}
+}
+
 func (c *call) shareRequest(now time.Time, choice placement.Choice) fairshare.Request {
 	request := fairshare.Request{
 		Customer: c.customerName(), Priority: fairshare.PriorityLevel(c.query.PriorityLevel), Work: fairshare.WorkOf(choice.Uncached, c.query.Output),
-		Digest: c.digest, QueueDelay: choice.QueueDelay, Waited: now.Sub(c.arrived), Objective: c.query.Objective, Counted: c.demandCounted,
+		Digest: c.digest, QueueDelay: choice.QueueDelay, Waited: now.Sub(c.arrived), Objective: c.query.Objective,
 		Random: rand.Float64(), //nolint:gosec // Only spreads load.
 	}
 	if c.forwarder.config.Instances != nil {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -86,6 +86,7 @@
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
 			c.countStart()
+			c.countFirstEvent(now)
 		} else {
 			r.attempt.Event(now)
 		}
