--- a/internal/request/fairshare/capacity.go
+++ b/internal/request/fairshare/capacity.go
@@ -154,6 +154,10 @@
 	if p.pressure < highPressure && allowed >= work.asked {
 		p.short = false
 	}
+	if p.pressure > shortPressure && p.highest >= work.asked {
+		// More is outstanding than the servers can start in time, although the sums are below the highest capacity, such as early in a surge.
+		return max(allowed, leastCapacity*work.used), allowed
+	}
 	return p.highest, allowed
 }
 
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -17,7 +17,9 @@
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
+
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
 	"vanillapond/internal/version/routes"
@@ -41,8 +43,10 @@
 	records []forward.Record
 	// invalid counts the responses that asked for an invalid pause; guarded by mu.
 	invalid int
+	shares  *fairshare.Controller
 	mu      sync.Mutex
-	url     string
+
+	url string
 }
 
 // tier returns a pointer to a tier.
@@ -132,7 +136,7 @@
 // newHarness starts a forwarder and one server for each handler; extra is the number of retries that the budget allows.
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
-	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: clock.Reading(time.Hour)}
+	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: clock.Reading(time.Hour), shares: fairshare.New()}
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
 			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second})
@@ -156,9 +160,11 @@
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
 		OnInvalidPause: h.recordInvalidPause, Origins: &h.origin,
-		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
-		Admission:  func(ident.Pool) *admission.Controller { return controller },
-		Budget:     func(ident.Pool) *retry.Budget { return budget },
+		Balancer:  func(ident.Pool) *placement.Balancer { return balancer },
+		Admission: func(ident.Pool) *admission.Controller { return controller },
+		Shares:    func(ident.Pool) *fairshare.Controller { return h.shares },
+		Budget:    func(ident.Pool) *retry.Budget { return budget },
+
 		MaxKeyAge:  func() time.Duration { return 4 * time.Second },
 		MaxDenyAge: func() time.Duration { return 2 * time.Second },
 	})
