Fair shares: customers over their shares keep as much as any other uses

Change: a customer over its share gets at least as much as any other uses; the capacity that is shared is reduced by up to a quarter while the queue delay stays above 0.25 of the objectives. The work of a request is bounded, since callers announce the output.

--- a/internal/request/fairshare/capacity.go
+++ b/internal/request/fairshare/capacity.go
@@ -29,6 +29,12 @@
 	// minMargin is the outstanding work of engines that are busy without a queue, and maxMargin that of requests that wait half a second.
 	minMargin = 0.003
 	maxMargin = 0.1
+	// The capacity that is shared is reduced by reductionRate a second while the pressure is above reducePressure, and restored below
+	// restorePressure. With maxReduction, the servers have a quarter of their time for what is queued.
+	reducePressure  = 0.25
+	restorePressure = 0.1
+	reductionRate   = 0.03
+	maxReduction    = 0.25
 	// retainedPeriod is the time constant with which the highest capacity seen is forgotten. It is long, so that the capacity is not taken for
 	// less because less was asked for.
 	retainedPeriod = time.Minute
@@ -83,10 +89,13 @@
 	// margin is the outstanding work aimed at, as a fraction of highest.
 	margin float64
 
+	// reduction is by how much the capacity is less than highest, as a fraction, so that the queue becomes shorter.
+	reduction float64
 	// highest is the highest capacity seen, decaying with retainedPeriod.
 	highest float64
 	// level is the amount above which a customer's demand is over its share; infinite if there is none. overLevel is the share of each
-	// customer over it, at most level: less while what was admitted beyond the capacity is still queued.
+	// customer over it, at most level: less while what was admitted beyond the capacity is still queued, but not less than any of the others uses.
+
 	level, overLevel float64
 	// fleetScale is by how much the sums of all instances exceed those of the instances that are heard; at least 1.
 	fleetScale  float64
@@ -158,7 +167,13 @@
 		// More is outstanding than the servers can start in time, although the sums are below the highest capacity, such as early in a surge.
 		return max(allowed, leastCapacity*work.used), allowed
 	}
-	return p.highest, allowed
+	switch {
+	case p.pressure > reducePressure:
+		p.reduction = min(p.reduction+reductionRate*elapsed.Seconds(), maxReduction)
+	case p.pressure < restorePressure:
+		p.reduction = max(p.reduction-reductionRate*elapsed.Seconds(), 0)
+	}
+	return p.highest * (1 - p.reduction), allowed
 }
 
 // refresh computes the capacity and the shares; the caller holds mu.
@@ -214,16 +229,18 @@
 		sorted = append(sorted, each.asked)
 	}
 	p.level = Level(sorted, total)
+	mostUsed := overFraction * p.level
 
 	for _, each := range demands {
 		if each.asked > p.level {
 			p.over++
 		} else {
 			allowed -= each.used
+			mostUsed = max(mostUsed, each.used)
 		}
 	}
 	if p.over > 0 {
-		p.overLevel = min(max(allowed/float64(p.over), overFraction*p.level), p.level)
+		p.overLevel = min(max(allowed/float64(p.over), mostUsed), p.level)
 	}
 	return sorted
 }
--- a/internal/request/fairshare/sums.go
+++ b/internal/request/fairshare/sums.go
@@ -13,9 +13,13 @@
 // outputWeight is the work of an output token. It occupies an engine about as long as the prefill of ten tokens.
 const outputWeight = 10
 
-// WorkOf returns the work of a request.
+// maxRequestWork bounds the work of one request: callers announce the length of the output, and a false one must not count as the capacity of
+// the service. It is the prefill of an engine in a few seconds.
+const maxRequestWork = 1 << 18
+
+// WorkOf returns the work of a request, at most maxRequestWork.
 func WorkOf(uncached, output ident.Tokens) Work {
-	return Work(max(uncached, 0)) + outputWeight*Work(max(output, 0))
+	return min(Work(max(uncached, 0))+outputWeight*Work(max(output, 0)), maxRequestWork)
 }
 
 // PriorityLevels is the number of priorities.
