Fair shares: requests that no server ran cost their customer nothing

Cause: an admitted request that servers refused counted as its customer's use, and a replay without gossip was missing. Change: Dropped takes the use back if no server ran the request; TestSurgeWithoutShares also plays instances that hear no reports.

--- a/internal/request/fairshare/fairshare.go
+++ b/internal/request/fairshare/fairshare.go
@@ -198,11 +198,17 @@
 	c.recent.add(now, work)
 }
 
-// Dropped counts that an admitted request ended without a first event.
-func (c *Controller) Dropped(work Work) {
+// Dropped counts that a request that was admitted at the given time ended without a first event. If no server ran it, its use is taken back.
+func (c *Controller) Dropped(now, admittedAt time.Time, request Request, ran bool) {
+	work := max(request.Work, 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outstanding = max(c.outstanding-max(work, 0), 0)
+	c.advance(now)
+	c.outstanding = max(c.outstanding-work, 0)
+	if account := c.own[request.Customer]; account != nil && !ran {
+		used := &account.used[request.Priority.clamped()]
+		*used = max(*used-c.time.scaled(work)*math.Exp(-float64(now.Sub(admittedAt))/float64(decayPeriod)), 0)
+	}
 }
 
 // ReturnedEarly reports whether a request was refused and is repeated before the time to retry after.
--- a/internal/request/fairshare/fairshare_test.go
+++ b/internal/request/fairshare/fairshare_test.go
@@ -255,6 +255,20 @@
 	}
 }
 
+// TestRequestThatNeverRan guards against a customer that pays for requests that no server ran, and against work that stays outstanding.
+func TestRequestThatNeverRan(t *testing.T) {
+	is := is.New(t)
+	for ran, used := range map[bool]uint64{false: 0, true: 1000} {
+		controller, each := fairshare.New(), request("a", 1000, 0)
+		controller.Admit(start, each)
+		is.Equal(controller.Report(start, 64, 4096).Outstanding, uint64(1000))
+		controller.Dropped(start, start, each, ran)
+		report := controller.Report(start, 64, 4096)
+		is.Equal(report.Outstanding, uint64(0))
+		is.Equal(report.Customers[0].Used[0], used)
+	}
+}
+
 // TestReportBounds guards against reports of many customers with long names that exceed a datagram's part, or that receivers refuse.
 func TestReportBounds(t *testing.T) {
 	is := is.New(t)
--- a/internal/request/fairshare/replay_test.go
+++ b/internal/request/fairshare/replay_test.go
@@ -104,6 +104,8 @@
 type fleet struct {
 	random *rand.Rand
 	shares []*fairshare.Controller
+	// silent lets all gossip about use be lost.
+	silent bool
 	admit  []*admission.Controller
 	// queues holds the waiting jobs of each server by priority, backlogs their tokens, and history the same at each tick, for stale views.
 	queues   [replayServers][3][]job
@@ -131,9 +133,9 @@
 }
 
 // replay plays customers of which some demand a multiple of their usual, with or without shares, and returns the late and failed requests.
-func replay(seed uint64, surges map[int]float64, withShares bool) *fleet {
+func replay(seed uint64, surges map[int]float64, withShares, silent bool) *fleet {
 	const customers = 24
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), sent: make(map[int][]sending), bad: make(map[int]int), all: make(map[int]int)}
+	f := &fleet{silent: silent, random: rand.New(rand.NewPCG(seed, 1)), sent: make(map[int][]sending), bad: make(map[int]int), all: make(map[int]int)}
 	for range replayInstances {
 		f.admit = append(f.admit, &admission.Controller{})
 		if withShares {
@@ -253,7 +255,7 @@
 		f.recent[each.instance][each.server][each.priority] -= each.tokens
 	}
 	delete(f.sent, expired)
-	if f.shares == nil || now%staleness != 0 {
+	if f.shares == nil || f.silent || now%staleness != 0 {
 		return
 	}
 	at := clock(now)
@@ -356,15 +358,15 @@
 const surging, raised = 8, 10
 
 // sharedSurge returns the replay of a surge with shares; it takes seconds, so that two tests use the same one.
-var sharedSurge = sync.OnceValue(func() *fleet { return replay(0, map[int]float64{raised: 9, surging: 300}, true) })
+var sharedSurge = sync.OnceValue(func() *fleet { return replay(0, map[int]float64{raised: 9, surging: 300}, true, false) })
 
 // TestSurge guards against a customer with hundreds of times its usual demand making the requests of others late or refused.
 func TestSurge(t *testing.T) {
 	for seed, surge := range []func() *fleet{
-		sharedSurge, func() *fleet { return replay(1, map[int]float64{raised: 9, surging: 300}, true) },
+		sharedSurge, func() *fleet { return replay(1, map[int]float64{raised: 9, surging: 300}, true, false) },
 	} {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			before, all := replay(uint64(seed), map[int]float64{raised: 9}, true).others()
+			before, all := replay(uint64(seed), map[int]float64{raised: 9}, true, false).others()
 			shared := surge()
 			with, _ := shared.others()
 			t.Logf("of %d requests of others, late or failed: %d without the surge, %d with it; served %.2f of the capacity",
@@ -377,12 +379,14 @@
 }
 
 // TestSurgeWithoutShares guards against shares that make no difference: the previous policy, which judges each request by its queue delay alone,
-// makes more requests of others late.
+// makes more requests of others late. It also guards against shares that make things worse where no peer is heard.
 func TestSurgeWithoutShares(t *testing.T) {
-	without, _ := replay(0, map[int]float64{raised: 9, surging: 300}, false).others()
+	without, _ := replay(0, map[int]float64{raised: 9, surging: 300}, false, false).others()
 	with, _ := sharedSurge().others()
-	t.Logf("late or failed requests of others: %d, %d without shares", with, without)
-	if with >= without {
-		t.Errorf("%d late and failed requests of others, %d without shares, want fewer", with, without)
+	// Each instance then takes its own sums for those of the others.
+	silent, _ := replay(0, map[int]float64{raised: 9, surging: 300}, true, true).others()
+	t.Logf("late or failed requests of others: %d, %d without gossip, %d without shares", with, silent, without)
+	if with >= without || silent >= without {
+		t.Errorf("%d late and failed requests of others, %d without gossip, %d without shares, want fewer than the last", with, silent, without)
 	}
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -223,9 +223,12 @@
 	software ident.Software
 	// stream is the id of the caller's request that brought the first event; empty if it is not known.
 	stream ident.Request
-	// shares is where the request was counted as admitted, nil if it was not, and shareWork its work there, 0 once its first event has arrived.
-	shares    *fairshare.Controller
-	shareWork fairshare.Work
+	// shares is where the request was counted as admitted at sharedAt, nil if it was not, and shareRequest how. awaitsEvent is set until its first
+	// event has arrived.
+	shares       *fairshare.Controller
+	sharedAt     time.Time
+	shareRequest fairshare.Request
+	awaitsEvent  bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/request/forward/share.go
+++ b/internal/request/forward/share.go
@@ -23,7 +23,7 @@
 	if !c.hasShares() || c.shares != nil {
 		return fairshare.Decision{}
 	}
-	decision := c.forwarder.config.Shares(c.service).Decide(now, c.shareRequest(now, choice))
+	decision := c.forwarder.config.Shares(c.service).Decide(now, c.newShareRequest(now, choice))
 	c.record.ShareFraction = decision.Fraction
 	return decision
 }
@@ -33,31 +33,31 @@
 	switch {
 	case !c.hasShares() || c.shares != nil:
 	case decision.Admit:
-		request := c.shareRequest(now, choice)
-		c.shares, c.shareWork = c.forwarder.config.Shares(c.service), request.Work
-		c.shares.Admit(now, request)
+		c.shares, c.sharedAt, c.shareRequest, c.awaitsEvent = c.forwarder.config.Shares(c.service), now, c.newShareRequest(now, choice), true
+		c.shares.Admit(now, c.shareRequest)
 	default:
-		c.forwarder.config.Shares(c.service).Refused(now, c.shareRequest(now, choice), decision.RetryAfter)
+		c.forwarder.config.Shares(c.service).Refused(now, c.newShareRequest(now, choice), decision.RetryAfter)
 	}
 }
 
 // countFirstEvent counts the request as served in the shares of its service.
 func (c *call) countFirstEvent(now time.Time) {
-	if c.shareWork > 0 {
-		c.shares.Served(now, c.shareWork)
-		c.shareWork = 0
+	if c.awaitsEvent {
+		c.awaitsEvent = false
+		c.shares.Served(now, c.shareRequest.Work)
 	}
 }
 
-// endShare ends the wait for the first event in the shares of the request's service.
+// endShare ends the wait for the first event in the shares of the request's service, and takes the use back if no server ran the request.
 func (c *call) endShare() {
-	if c.shareWork > 0 {
-		c.shares.Dropped(c.shareWork)
-		c.shareWork = 0
+	if c.awaitsEvent {
+		c.awaitsEvent = false
+		c.shares.Dropped(time.Now(), c.sharedAt, c.shareRequest, c.mayHaveRun)
 	}
 }
 
-func (c *call) shareRequest(now time.Time, choice placement.Choice) fairshare.Request {
+// newShareRequest describes the request to the shares of its service.
+func (c *call) newShareRequest(now time.Time, choice placement.Choice) fairshare.Request {
 	request := fairshare.Request{
 		Customer: c.customerName(), Priority: fairshare.PriorityLevel(c.query.PriorityLevel), Work: fairshare.WorkOf(choice.Uncached, c.query.Output),
 		Digest: c.digest, QueueDelay: choice.QueueDelay, Waited: now.Sub(c.arrived), Objective: c.query.Objective,
