--- a/internal/request/fairshare/fairshare_test.go
+++ b/internal/request/fairshare/fairshare_test.go
@@ -269,6 +269,26 @@
 	}
 }
 
+// TestShortnessDoesNotSwitchWithEachRequest guards against a state that follows the queue delay of every request.
+func TestShortnessDoesNotSwitchWithEachRequest(t *testing.T) {
+	controller, now, switches, short := fairshare.New(), start, 0, false
+	for at := range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		each := request(ident.Customer(fmt.Sprint(at%5)), 100, []float64{0.6, 0.05, 0}[at%3])
+		each.Digest = uint64(at)
+		decision := controller.Decide(now, each)
+		if !decision.Refuse {
+			admit(controller, now, each.Customer, each.Work)
+		}
+		if decision.Short != short {
+			switches++
+			short = decision.Short
+		}
+	}
+	is.New(t).Equal(switches, 1) // short from the first request on
+	is.New(t).True(!controller.Decide(now.Add(10*time.Second), request("0", 1, 0)).Short)
+}
+
 // TestReportBounds guards against reports of many customers with long names that exceed a datagram's part, or that receivers refuse.
 func TestReportBounds(t *testing.T) {
 	is := is.New(t)
