--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -14,6 +14,7 @@
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
 	"vanillapond/internal/request/servermodel"
@@ -64,6 +65,10 @@
 	Admission func(ident.Pool) *admission.Controller
 	// Waiting returns the queue of a load-aware service; nil means one queue for all services.
 	Waiting func(ident.Pool) *waiting.Controller
+	// Shares returns what shares a load-aware engine service between its customers, and Instances the number of router instances, 0 if it is
+	// not known; nil for Shares means that customers have no shares.
+	Shares    func(ident.Pool) *fairshare.Controller
+	Instances func() int
 	// Budget returns the retry budget of a service.
 	Budget   func(ident.Pool) *retry.Budget
 	Suspects Suspects
@@ -149,6 +154,8 @@
 	// Duration is the time until the request ended.
 	TimeToFirstByte, Duration time.Duration
 	Objective                 time.Duration
+	// ShareFraction is the customer's use in relation to its share of the service, 0 if the service was not short of capacity.
+	ShareFraction float64
 	// Parts are the ids of the first shared parts of the prompt, at most maxLoggedParts.
 	Parts []quarantine.Part
 	// QuarantinedPart is the part for which the request was refused, or let through as a trial; 0 if it has none.
@@ -236,6 +243,12 @@
 	software ident.Software
 	// stream is the id of the caller's request that brought the first event; empty if it is not known.
 	stream ident.Request
+	// shares is where the request was counted as admitted at sharedAt, nil if it was not, and shareRequest how. awaitsEvent is set until its first
+	// event has arrived.
+	shares       *fairshare.Controller
+	sharedAt     time.Time
+	shareRequest fairshare.Request
+	awaitsEvent  bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -273,6 +286,7 @@
 	} else {
 		c.run()
 	}
+	c.endShare()
 	c.endTrial()
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -87,6 +87,7 @@
 			r.attempt.FirstEvent(now)
 			c.recordCapacityEvent(now)
 			c.countStart()
+			c.countFirstEvent(now)
 		} else {
 			r.attempt.Event(now)
 		}
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -16,6 +16,7 @@
 	"vanillapond/internal/process/peers"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/usage"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/servermodel"
@@ -70,6 +71,8 @@
 	Health map[ident.Pool]placement.HealthReport `cbor:"15,keyasint,omitempty"`
 	// Measured are the sender's rates of sends and the newest load figures of servers, by load-aware service.
 	Measured map[ident.Pool]placement.LoadReport `cbor:"16,keyasint,omitempty"`
+	// CustomerUse is what customers have asked for and used at the sender, by load-aware engine service.
+	CustomerUse fairshare.Reports `cbor:"14,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -154,6 +157,7 @@
 			g.router.servers.MarkLeaving(leaving)
 		}
 		g.mergeLimits(received)
+		g.router.mergeCustomerUse(now, received.Process, received.CustomerUse)
 		g.router.origins.receive(received.Process, received.Origins, func(datagram []byte) { g.writeTo(unmapped(from), datagram) })
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
@@ -245,6 +249,7 @@
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
 		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()), Measured: r.measuredLoads(time.Now()),
+		CustomerUse: fairshare.Collect(time.Now(), r.shares.all()),
 	}
 	if outgoing.Version > 0 {
 		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -101,7 +101,7 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents,
 		m.quarantineEvents, m.crashes, m.falseLoads, m.healthChanges)
-	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r})
+	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r}, shareCollector{r})
 	m.waits = newWaitMetrics(r, m.registry)
 	m.balance = newBalanceMetrics(m.registry)
 	for name, read := range r.gauges() {
@@ -221,6 +221,9 @@
 		"pause_ms", record.LongestPause.Milliseconds(), "max_pause_ms", record.MaxPause.Milliseconds(),
 		"took_ms", record.Duration.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
+	if record.ShareFraction > 0 {
+		pairs = append(pairs, "share", strconv.FormatFloat(record.ShareFraction, 'f', 2, 64))
+	}
 	broken := false
 	for _, attempt := range record.Attempts {
 		pairs = append(pairs,
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -27,6 +27,7 @@
 	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
@@ -43,6 +44,8 @@
 	Log io.Writer
 	// MetricsPort is the port that serves the metrics; 0 disables it.
 	MetricsPort int
+	// FairShares turns on equal shares of load-aware engine services between customers while the services are short of capacity.
+	FairShares bool
 	// Build is the version of the program, for the log and the served state.
 	Build string
 }
@@ -97,6 +100,9 @@
 	admissionControllers *perService[*admission.Controller]
 	waiting              *perService[*waiting.Controller]
 	retryBudgets         *perService[*retry.Budget]
+	// fairShares means that customers have shares, and shares holds what shares each load-aware engine service between its customers.
+	fairShares bool
+	shares     *perService[*fairshare.Controller]
 }
 
 // softMemoryLimitFraction is the fraction of the memory limit above which the garbage collector runs more often.
@@ -116,10 +122,11 @@
 		return nil, err
 	}
 	r := &Router{
-		settings: settings, build: config.Build, incarnation: incarnation,
+		settings: settings, fairShares: config.FairShares, build: config.Build, incarnation: incarnation,
 		configuration:        &routes.Current{},
 		balancers:            newPerService(func() *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
 		admissionControllers: newPerService(func() *admission.Controller { return &admission.Controller{} }),
+		shares:               newPerService(fairshare.New),
 		health:               health{recovered: make(chan struct{})},
 	}
 	r.retryBudgets = newPerService(r.newRetryBudget)
@@ -223,6 +230,7 @@
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Process: r.settings.Process, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
 		Admission: r.admissionControllers.get, Waiting: r.waiting.get,
+		Shares: r.customerShares(), Instances: r.knownInstances,
 		Budget:   r.retryBudgets.get,
 		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
@@ -235,6 +243,14 @@
 	})
 }
 
+// customerShares returns what shares a service between its customers, nil if customers have no shares.
+func (r *Router) customerShares() func(ident.Pool) *fairshare.Controller {
+	if !r.fairShares {
+		return nil
+	}
+	return r.shares.get
+}
+
 func (r *Router) newRetryBudget() *retry.Budget {
 	bounds := r.settings.Bounds
 	return retry.New(retry.Config{
