--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -16,6 +16,7 @@
 	command
 	Settings    string `long:"settings" value-name:"FILE" description:"settings in the platform's format (default: the file that VANILLAPOND_NODE_FILE names)"`
 	MetricsPort int    `long:"metrics-port" value-name:"PORT" description:"serve counters at this port of the VM's address"`
+	FairShares  bool   `long:"fair-shares" description:"while a load-aware service is short of capacity, share it evenly between customers"`
 	Check       bool   `long:"check" description:"check the settings and end"`
 }
 
@@ -35,7 +36,7 @@
 		return printValid(env, path)
 	}
 	runtime.GOMAXPROCS(max(loaded.Cores, 1))
-	started, err := router.Start(env.ctx, router.Config{Settings: loaded, Log: env.out, MetricsPort: c.MetricsPort, Build: Build})
+	started, err := router.Start(env.ctx, router.Config{Settings: loaded, Log: env.out, MetricsPort: c.MetricsPort, FairShares: c.FairShares, Build: Build})
 	if err != nil {
 		return err
 	}
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -17,6 +17,7 @@
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
@@ -49,6 +50,7 @@
 	// findings counts the false load headers, and invalidLoads the errors of unreadable ones; guarded by mu.
 	findings     map[servermodel.Finding]int
 	invalidLoads int
+	shares       *fairshare.Controller
 	mu           sync.Mutex
 	url          string
 }
@@ -148,7 +150,7 @@
 // newHarness starts a forwarder and one server for each handler; extra is the number of retries that the budget allows.
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
-	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: clock.Reading(time.Hour)}
+	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: clock.Reading(time.Hour), shares: fairshare.New()}
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
 			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second})
@@ -176,6 +178,7 @@
 		OnInvalidPause: h.recordInvalidPause, OnInvalidLoad: h.recordInvalidLoad, OnFalseLoad: h.recordFalseLoad, Origins: &h.origin,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
+		Shares:     func(ident.Pool) *fairshare.Controller { return h.shares },
 		Budget:     func(ident.Pool) *retry.Budget { return budget },
 		MaxKeyAge:  func() time.Duration { return 4 * time.Second },
 		MaxDenyAge: func() time.Duration { return 2 * time.Second },
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"vanillapond/internal/request/placement"
 	"vanillapond/platform"
 )
 
@@ -37,6 +38,13 @@
 	retryAfter time.Duration
 	// closesConnection asks the caller to use another connection, which may lead to another instance.
 	closesConnection bool
+	// lacksCapacity means that the request was refused for lack of capacity. retryAfter is then the expected time until there is some.
+	lacksCapacity bool
+	// mayWait means that the request may wait instead, and capacityIn is the shortest time after which it may be admitted, 0 if that is not known.
+	mayWait    bool
+	capacityIn time.Duration
+	// choice is the server that was picked before the request was refused, nil if there was none.
+	choice *placement.Choice
 }
 
 // unavailable returns a refusal with status 503, which promises that the request did not run and never will.
@@ -68,11 +76,21 @@
 	return refused
 }
 
+// lacksCapacity returns a refusal with status 503 for lack of capacity, which is expected after the given time.
+func lacksCapacity(reason string, expected time.Duration) *refusal {
+	refused := unavailable(reason, expected)
+	refused.lacksCapacity = true
+	return refused
+}
+
 func deny(status int, reason string) *refusal { return &refusal{status: status, reason: reason} }
 
 // refuse ends the request with an error response, or without one if a response has begun or the caller has disconnected.
 func (c *call) refuse(refused *refusal) {
 	c.record.Reason = refused.reason
+	if refused.choice != nil {
+		c.record.Attempts = append(c.record.Attempts, Attempt{Choice: *refused.choice, Outcome: Unsent})
+	}
 	if c.headWritten {
 		c.record.Outcome = outcomeTruncated
 		return
@@ -95,6 +113,9 @@
 	}
 	c.record.Status = refused.status
 	header := c.writer.Header()
+	if refused.lacksCapacity && refused.retryAfter > 0 {
+		refused.retryAfter = c.returnAfter(refused)
+	}
 	if refused.retryAfter > 0 {
 		const digits = 2
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', digits, 64))
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -85,7 +85,9 @@
 			c.beginStream(r.server)
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
+			c.recordCapacityEvent(now)
 			c.countStart()
+			c.countFirstEvent(now)
 		} else {
 			r.attempt.Event(now)
 		}
--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -59,6 +59,9 @@
 		b.cache.record(now, query.Parts, server)
 	}
 	server.local.add(attempt.load)
+	if b.settings.LoadAware {
+		b.estimates.recordSend(now, ordinarySend+sendKind(attempt.load.LatencySensitive))
+	}
 	server.attempts[attempt] = struct{}{}
 	return attempt
 }
--- a/internal/request/placement/health_pick.go
+++ b/internal/request/placement/health_pick.go
@@ -109,8 +109,7 @@
 		if slices.Contains(query.Avoid, candidate.ID) || slices.Contains(query.Exclude, candidate.ID) {
 			continue
 		}
-		candidate.load = candidate.remote
-		candidate.load.add(candidate.local)
+		b.estimate(now, candidate, 0)
 		if mayBeTrial && tracker.mayTry(now, candidate) {
 			b.eligible = append(b.eligible[:0], candidate)
 			return true
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -2,7 +2,8 @@
 //
 // Several router instances send requests to the same servers. Load reports of the servers are outdated when they arrive, and
 // many instances would act on the same report at once. The balancer therefore ignores them: it counts the requests that this
-// instance has sent, and adds what its peers report to have sent.
+// instance has sent, and adds what its peers report to have sent. At load-aware services, the servers' reports correct this within
+// limits (estimate.go), and the choice allows for the error of the estimates (choose.go).
 package placement
 
 import (
@@ -92,6 +93,10 @@
 	Trial bool
 	// FailedAt is when a connection to the server last broke or was refused at any instance that shares it; connections from before must not be used.
 	FailedAt time.Time
+	// FigureAge is the age of the newest figure from elsewhere about the server's load; 0 without one and at services that are not load-aware.
+	FigureAge time.Duration
+	// Balance is a sample of how evenly the load is spread.
+	Balance Balance
 }
 
 // Balancer tracks the load of the servers of one service and picks one of them for each request.
@@ -112,9 +117,10 @@
 	model       *servermodel.Model
 	reservation reservation
 	// shared is the health of the servers by the results of all instances, used if settings.SharedHealth is set. Guarded by mu.
-	shared *healthTracker
-	cache  prefixCache
-	random *rand.Rand
+	shared    *healthTracker
+	estimates estimates
+	cache     prefixCache
+	random    *rand.Rand
 	// eligible holds the servers that the current Pick compares; its memory is reused. Guarded by mu.
 	eligible []*server
 }
@@ -135,6 +141,8 @@
 	// remote is the sum of the loads that peers report.
 	remote Load
 	health health
+	// evidence is what the estimate of the load of a load-aware service is made of.
+	evidence loadEvidence
 	// attempts are this instance's requests in flight at the server.
 	attempts map[*Attempt]struct{}
 	// speed is the server's state in the balancer's model, nil without one.
@@ -195,9 +203,12 @@
 	slices.SortFunc(b.members, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 	for id, known := range b.servers {
 		if !present[id] && len(known.attempts) == 0 {
-			delete(b.servers, id)
 			b.cache.removeServer(known)
 			b.forgetSpeed(known)
+			if b.settings.LoadAware && known.remote != (Load{}) {
+				continue // The peers' next reports subtract this load; from a server that has returned in between, they would subtract it in vain.
+			}
+			delete(b.servers, id)
 		}
 	}
 }
@@ -227,7 +238,7 @@
 		markPreferred(query.Parts, b.eligible)
 		b.cache.markCached(now, query.Parts)
 	}
-	chosen, cost := b.cheapest(now, query)
+	chosen, cost := b.choose(now, query)
 	choice := Choice{
 		Server: chosen.ID, Cost: cost, Load: chosen.load, Reserved: chosen.reserved, Usable: len(b.eligible), Free: b.countFree(),
 		Trial: isTrial, FailedAt: b.failedAt(chosen, query),
@@ -237,16 +248,16 @@
 		choice.QueueDelay = chosen.figures.prefillTime(chosen.load.Prefill.upTo(query.PriorityLevel))
 		choice.TimeToFirstEvent = choice.QueueDelay + chosen.figures.prefillTime(choice.Uncached) + chosen.figures.base()
 	}
+	if b.settings.LoadAware {
+		choice.FigureAge, choice.Balance = b.figureAge(now, chosen), b.sampleBalance(now)
+	}
 	return choice, true
 }
 
 // cheapest returns the eligible server of lowest cost, a random one on ties.
 func (b *Balancer) cheapest(now time.Time, query Query) (*server, float64) {
 	costOf := plainCost
-	switch {
-	case query.Engine && b.settings.LoadAware:
-		costOf = b.protectedCost(query)
-	case query.Engine:
+	if query.Engine {
 		costOf = b.engineCost(query)
 	}
 	var best *server
@@ -288,10 +299,7 @@
 				slices.Contains(query.Exclude, candidate.ID) || canWait && candidate.isFailing(now) {
 				continue
 			}
-			candidate.load = candidate.remote
-			candidate.figures = b.figures(now, candidate)
-			candidate.load.Prefill.drain(candidate.figures.tokensIn(reportAge))
-			candidate.load.add(candidate.local)
+			b.estimate(now, candidate, reportAge)
 			candidate.preference, candidate.reserved, candidate.cachedParts, candidate.cachedTokens = preferredCount, false, 0, 0
 			b.eligible = append(b.eligible, candidate)
 		}
--- a/internal/request/placement/samples.go
+++ b/internal/request/placement/samples.go
@@ -53,6 +53,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	if !a.balancer.usesModel() || a.server.speed == nil {
+		a.measureLoad(now, load)
 		return nil
 	}
 	speed := a.observedSpeed()
@@ -65,9 +66,13 @@
 			own++
 		}
 	}
-	return speed.ObserveLoad(now, servermodel.Load{
+	findings := speed.ObserveLoad(now, servermodel.Load{
 		Requests: load.Running + load.Waiting, Slots: load.Slots, WorkPercent: load.WorkPercent, OwnRunning: own, RegisteredSlots: a.server.Slots,
 	})
+	if len(findings) == 0 {
+		a.measureLoad(now, load)
+	}
+	return findings
 }
 
 // RejectLoad records that the server's load header cannot be read.
--- a/internal/request/placement/status.go
+++ b/internal/request/placement/status.go
@@ -39,12 +39,9 @@
 	}
 	statuses := make([]ServerStatus, 0, len(b.members))
 	for _, candidate := range b.members {
-		total := candidate.remote
-		known := b.figures(now, candidate)
-		total.Prefill.drain(known.tokensIn(reportAge))
-		total.add(candidate.local)
+		b.estimate(now, candidate, reportAge)
 		status := ServerStatus{
-			Server: candidate.ID, Local: candidate.local, Total: total, FailureRate: candidate.health.failureRate,
+			Server: candidate.ID, Local: candidate.local, Total: candidate.load, FailureRate: candidate.health.failureRate,
 			EjectedFor: max(candidate.health.ejectedUntil.Sub(now), 0), Overdue: candidate.overdue(now),
 		}
 		if candidate.speed != nil {
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -16,6 +16,7 @@
 	"vanillapond/internal/process/peers"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/usage"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/servermodel"
@@ -68,6 +69,10 @@
 	ConfigAgeMS int64 `cbor:"17,keyasint,omitempty"`
 	// Health is what the sender knows from its own requests about the health of the plain servers of load-aware services, by service.
 	Health map[ident.Pool]placement.HealthReport `cbor:"15,keyasint,omitempty"`
+	// Measured are the sender's rates of sends and the newest load figures of servers, by load-aware service.
+	Measured map[ident.Pool]placement.LoadReport `cbor:"16,keyasint,omitempty"`
+	// CustomerUse is what customers have asked for and used at the sender, by load-aware engine service.
+	CustomerUse fairshare.Reports `cbor:"14,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -137,9 +142,11 @@
 		}
 		for service, load := range received.Load {
 			g.router.balancers.get(service).UpdatePeer(now, received.Process, load)
+			g.router.waiting.get(service).Event(now)
 		}
 		g.mergeSpeeds(now, received)
 		g.mergeHealth(now, received)
+		g.mergeMeasured(now, received)
 		g.router.suspects.Merge(now, received.Losses)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
@@ -150,6 +157,7 @@
 			g.router.servers.MarkLeaving(leaving)
 		}
 		g.mergeLimits(received)
+		g.router.mergeCustomerUse(now, received.Process, received.CustomerUse)
 		g.router.origins.receive(received.Process, received.Origins, func(datagram []byte) { g.writeTo(unmapped(from), datagram) })
 		if received.Incarnation != "" {
 			g.router.peerUsage.record(received.Incarnation,
@@ -240,7 +248,8 @@
 	outgoing := message{
 		Process: r.settings.Process, Load: r.localLoad(), Leaving: r.servers.Leaving(),
 		Version: r.configuration.Version(), Quarantine: r.quarantine.Report(time.Now()),
-		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()),
+		Limits: r.servers.LimitReports(), Health: r.healthReports(time.Now()), Measured: r.measuredLoads(time.Now()),
+		CustomerUse: fairshare.Collect(time.Now(), r.shares.all()),
 	}
 	if outgoing.Version > 0 {
 		outgoing.ConfigAgeMS = r.configAge().Milliseconds() + 1
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -36,6 +36,8 @@
 	crashes              prometheus.Counter
 	falseLoads           *prometheus.CounterVec
 	healthChanges        *prometheus.CounterVec
+	waits                waitMetrics
+	balance              balanceMetrics
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -99,7 +101,9 @@
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
 		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents,
 		m.quarantineEvents, m.crashes, m.falseLoads, m.healthChanges)
-	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r})
+	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r}, shareCollector{r})
+	m.waits = newWaitMetrics(r, m.registry)
+	m.balance = newBalanceMetrics(m.registry)
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
@@ -199,11 +203,13 @@
 	m.duration.WithLabelValues(record.Route).Observe(record.Duration.Seconds())
 	for _, attempt := range record.Attempts {
 		m.attempts.WithLabelValues(string(record.Service), attempt.Outcome).Inc()
+		m.balance.observe(record.Service, attempt.Choice.Balance)
 	}
 	if last := len(record.Attempts) - 1; last >= 0 && record.Attempts[last].Outcome == forward.Unsent &&
 		record.Attempts[last].Choice.Free > 0 {
 		m.refusedWithFreeSlots.WithLabelValues(string(record.Service)).Inc()
 	}
+	m.waits.observe(record)
 	r.logRequest(record)
 }
 
@@ -215,13 +221,16 @@
 		"pause_ms", record.LongestPause.Milliseconds(), "max_pause_ms", record.MaxPause.Milliseconds(),
 		"took_ms", record.Duration.Milliseconds(), "version", int64(record.Version), "config_age_ms", record.ConfigAge.Milliseconds(),
 	}
+	if record.ShareFraction > 0 {
+		pairs = append(pairs, "share", strconv.FormatFloat(record.ShareFraction, 'f', 2, 64))
+	}
 	broken := false
 	for _, attempt := range record.Attempts {
 		pairs = append(pairs,
 			"server", attempt.Choice.Server, "software", attempt.Software, "sent", attempt.Outcome, "sent_ms", attempt.Duration.Milliseconds(),
 			"usable", attempt.Choice.Usable,
 			"expected_ms", attempt.Choice.TimeToFirstEvent.Milliseconds(), "active", attempt.Choice.Load.Active,
-			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(),
+			"ahead_ms", attempt.Choice.QueueDelay.Milliseconds(), "load_age_ms", attempt.Choice.FigureAge.Milliseconds(),
 			"quiet", attempt.Choice.Reserved,
 			"paced", attempt.Choice.Load.LatencySensitive, "uncached", int64(attempt.Choice.Uncached))
 		if attempt.Choice.Trial {
@@ -238,6 +247,9 @@
 	if record.QuarantinedPart != 0 {
 		pairs = append(pairs, "part", strconv.FormatUint(uint64(record.QuarantinedPart), 16))
 	}
+	if record.WaitOutcome != "" {
+		pairs = append(pairs, "waited_ms", record.Waited.Milliseconds(), "wait", record.WaitOutcome)
+	}
 	if record.Resumes != "" {
 		pairs = append(pairs, "resumes", record.Resumes)
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -27,9 +27,11 @@
 	"vanillapond/internal/process/sharedrate"
 	"vanillapond/internal/process/usage"
 	"vanillapond/internal/request/admission"
+	"vanillapond/internal/request/fairshare"
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/retry"
+	"vanillapond/internal/request/waiting"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -42,6 +44,8 @@
 	Log io.Writer
 	// MetricsPort is the port that serves the metrics; 0 disables it.
 	MetricsPort int
+	// FairShares turns on equal shares of load-aware engine services between customers while the services are short of capacity.
+	FairShares bool
 	// Build is the version of the program, for the log and the served state.
 	Build string
 }
@@ -94,7 +98,11 @@
 	reporting            sync.WaitGroup
 	balancers            *perService[*placement.Balancer]
 	admissionControllers *perService[*admission.Controller]
+	waiting              *perService[*waiting.Controller]
 	retryBudgets         *perService[*retry.Budget]
+	// fairShares means that customers have shares, and shares holds what shares each load-aware engine service between its customers.
+	fairShares bool
+	shares     *perService[*fairshare.Controller]
 }
 
 // softMemoryLimitFraction is the fraction of the memory limit above which the garbage collector runs more often.
@@ -114,13 +122,15 @@
 		return nil, err
 	}
 	r := &Router{
-		settings: settings, build: config.Build, incarnation: incarnation,
+		settings: settings, fairShares: config.FairShares, build: config.Build, incarnation: incarnation,
 		configuration:        &routes.Current{},
 		balancers:            newPerService(func() *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
 		admissionControllers: newPerService(func() *admission.Controller { return &admission.Controller{} }),
+		shares:               newPerService(fairshare.New),
 		health:               health{recovered: make(chan struct{})},
 	}
 	r.retryBudgets = newPerService(r.newRetryBudget)
+	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.countDroppedLine})
@@ -219,9 +229,10 @@
 func (r *Router) forwarder() http.Handler {
 	return forward.New(forward.Config{
 		Domain: r.settings.Domain, Process: r.settings.Process, Current: r.configuration, Servers: r.servers, Balancer: r.balancers.get,
-		Admission: r.admissionControllers.get,
-		Budget:    r.retryBudgets.get,
-		Suspects:  r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
+		Admission: r.admissionControllers.get, Waiting: r.waiting.get,
+		Shares: r.customerShares(), Instances: r.knownInstances,
+		Budget:   r.retryBudgets.get,
+		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"), OnFalseLoad: r.recordFalseLoad,
 		PeersCurrent: func() bool {
@@ -232,6 +243,14 @@
 	})
 }
 
+// customerShares returns what shares a service between its customers, nil if customers have no shares.
+func (r *Router) customerShares() func(ident.Pool) *fairshare.Controller {
+	if !r.fairShares {
+		return nil
+	}
+	return r.shares.get
+}
+
 func (r *Router) newRetryBudget() *retry.Budget {
 	bounds := r.settings.Bounds
 	return retry.New(retry.Config{
@@ -298,6 +317,7 @@
 	grace := r.bounds().Grace
 	r.journal.Log("stopping", "grace", grace)
 	r.health.drain()
+	r.stopWaiting()
 	r.callerListener.DisableKeepAlives()
 	r.cancelReporting()
 	r.reporting.Wait()
