--- a/internal/request/placement/health_fleet_test.go
+++ b/internal/request/placement/health_fleet_test.go
@@ -33,12 +33,7 @@
 			lost, lostBefore := 0, 0
 			for seed := range uint64(seeds) {
 				f := newFleet(seed, true, fault)
-				foundAt := time.Duration(-1)
-				f.run(plainReplayTime, func(at time.Duration) {
-					if at >= faultFrom && foundAt < 0 && f.countStates(start.Add(at), placement.Healthy) == 0 {
-						foundAt = at - faultFrom
-					}
-				})
+				foundAt := f.findFault()
 				if !f.meetsTarget() || foundAt < 0 || foundAt > findTime {
 					t.Errorf("seed %d: found after %v, got %v, in all %v", seed, foundAt, f.sentFaulty, f.sent)
 				}
@@ -58,6 +53,32 @@
 	}
 }
 
+// findFault runs the whole replay and returns how long after the beginning of the fault all instances had found it, negative if they did not.
+func (f *fleet) findFault() time.Duration {
+	foundAt := time.Duration(-1)
+	f.run(plainReplayTime, func(at time.Duration) {
+		if at >= faultFrom && foundAt < 0 && f.countStates(start.Add(at), placement.Healthy) == 0 {
+			foundAt = at - faultFrom
+		}
+	})
+	return foundAt
+}
+
+// TestFaultyServerIsFoundLate is TestFaultyServerIsFound for the one of 300 other runs that missed the target.
+func TestFaultyServerIsFoundLate(t *testing.T) {
+	t.Parallel()
+	const seed = 1043
+	for _, fault := range faults {
+		if fault.name != "fails 45 percent" {
+			continue
+		}
+		f := newFleet(seed, true, fault)
+		if foundAt := f.findFault(); foundAt < 0 || foundAt > findTime || !f.meetsTarget() {
+			t.Errorf("found after %v, want at most %v", foundAt, findTime)
+		}
+	}
+}
+
 // TestPartlyBrokenConnections guards against the loss of requests with one attempt at a server that breaks a third of its connections, and whose other
 // requests succeed.
 func TestPartlyBrokenConnections(t *testing.T) {
