--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -2,8 +2,9 @@
 //
 // Several router instances send requests to the same servers. Load reports of the servers are outdated when they arrive, and
 // many instances would act on the same report at once. The balancer therefore ignores them: it counts the requests that this
-// instance has sent, and adds what its peers report to have sent. At load-aware services, the servers' reports correct this within
-// limits (estimate.go), and the choice allows for the error of the estimates (choose.go).
+// instance has sent, and adds what its peers report to have sent. At load-aware services, it also weighs the speed of each server
+// (figures.go), the servers' reports correct the load within limits (estimate.go), and the choice allows for the error of the
+// estimates (choose.go).
 package placement
 
 import (
--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -104,6 +104,7 @@
 	unframed          *unframedResponses
 	limits            *rateLimits
 	versions          *softwareVersions
+	loads             *loadHeaders
 	// part is nil for seeds without engines.
 	part *crashingPart
 }
@@ -145,7 +146,7 @@
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
-		unframed: newUnframedResponses(seed), limits: newRateLimits(seed), versions: newSoftwareVersions(seed), part: newCrashingPart(seed),
+		unframed: newUnframedResponses(seed), limits: newRateLimits(seed), versions: newSoftwareVersions(seed), loads: newLoadHeaders(seed), part: newCrashingPart(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -190,6 +191,7 @@
 		route.Host, route.Timeout, route.Service, route.MaxServers = host, 2000, "s", 2
 		configuration.Routes = append(configuration.Routes, route)
 	}
+	e.loads.configure(&configuration)
 	for _, key := range e.keys {
 		configuration.Customers = append(configuration.Customers, platform.Customer{Name: ident.Customer("c-" + key), Keys: []string{key}})
 	}
@@ -305,6 +307,7 @@
 	router := e.requests[request].router
 	e.mu.Unlock()
 	e.limits.recordArrival(id, router, w.Header())
+	e.loads.write(w.Header())
 	if e.faults.refuse(id, router, w) {
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,7 +4,7 @@
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
 // Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and those from
 // 30,000 on also unframed responses. Those from 40,000 to 59,999 run engines, which a part of prompts crashes; those from 60,000 on add rate
-// limits that servers name and servers of several software versions. -routers 60 tests a large fleet.
+// limits that servers name and servers of several software versions, and those from 70,000 on a load-aware service whose servers state their load, truly or not. -routers 60 tests a large fleet.
 // The environment variable SOAK_LOGS names a folder for the processes' logs.
 package soak_test
 
@@ -53,12 +53,13 @@
 }
 
 // laterSeeds always run, so that short runs also cover late and slow calls, faults of the backends, unframed
-// responses, parts of prompts that crash engines, rate limits, and several software versions.
+// responses, parts of prompts that crash engines, rate limits, several software versions, and load-aware services.
 var laterSeeds = []uint64{
 	firstLateSeed + 1, firstLateSeed + 2, firstBackendFaultSeed + 1, firstBackendFaultSeed + 2,
 	firstUnframedSeed + 1, firstUnframedSeed + 5,
 	firstCrashingPartSeed + 1, firstCrashingPartSeed + 2,
 	firstSharedDecisionSeed + 1, firstSharedDecisionSeed + 2,
+	firstLoadAwareSeed + 1, firstLoadAwareSeed + 2,
 }
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
