--- a/internal/request/waiting/controller.go
+++ b/internal/request/waiting/controller.go
@@ -162,6 +162,10 @@
 
 // Next waits for the next signal. It returns End with the outcome Ended when the context is done.
 func (t *Ticket) Next(ctx context.Context) (Signal, Outcome) {
+	if ctx.Err() != nil {
+		// Otherwise a turn that is due at the same time could win, and be lost to the other requests until it is passed on.
+		return End, Ended
+	}
 	expired := time.NewTimer(time.Until(t.entry.StartBy))
 	defer expired.Stop()
 	select {
