--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -36,6 +36,9 @@
 	// statisticsInterval is the interval between two messages to a peer that hold statistics besides the sender's load. They are several times as large as
 	// the load, and together would fill the links of small VMs with 10 Mbit/s.
 	statisticsInterval = time.Second
+	// maxStatisticsPeers is the number of peers that get the statistics each time, in turn. A server is known from the samples of a part of a large fleet,
+	// and the bytes that all instances exchange would grow with the square of their number.
+	maxStatisticsPeers = 32
 	// maxMessageBytes limits the size of a datagram, since networks handle the fragments of larger ones badly.
 	maxMessageBytes = 32 << 10
 )
@@ -222,6 +225,8 @@
 // send reports this instance's load to all peers until the context is done.
 func (g *gossip) send(ctx context.Context) {
 	sentStatistics := clock.Boot()
+	// first is the index of the peer that is sent to first.
+	first := 0
 	for ctx.Err() == nil {
 		peers := g.router.peers.Peers()
 		interval := min(max(minGossipInterval, time.Duration(len(peers))*gossipIntervalPerPeer), maxGossipInterval)
@@ -231,14 +236,23 @@
 			continue
 		}
 		update := g.router.message()
+		update.Losses = g.router.suspects.Recent(time.Now())
+		plain := g.router.encode(update)
+		complete, statisticsPeers := plain, 0
 		if now := clock.Boot(); now.Sub(sentStatistics) > statisticsInterval-interval/2 {
 			g.router.addStatistics(&update)
 			sentStatistics = now
+			if complete = g.router.encode(update); complete != nil {
+				statisticsPeers = min(len(peers), maxStatisticsPeers)
+			}
+			first = (first + statisticsPeers) % len(peers)
 		}
-		update.Losses = g.router.suspects.Recent(time.Now())
-		datagram := g.router.encode(update)
-		for _, peer := range peers {
-			g.sendTo(peer, datagram)
+		for index := range peers {
+			datagram := plain
+			if index < statisticsPeers {
+				datagram = complete
+			}
+			g.sendTo(peers[(first+index)%len(peers)], datagram)
 		}
 	}
 }
