Reading of the change: no walk over all peers at load-aware services, one merge of peers' reports, a dead condition

Cause: reading the whole change again. The merge of the estimates had dropped the condition that keeps load-aware services, which drain each report by its own age, from adding up the ages of all peers for each decision; measured loads and health applied peers' reports by the same loop; only engines reach setCapacities, which asked; and a comment named the failure rate of an earlier margin. Change: the condition is back, mergeReports serves both, the dead condition is gone.

--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -7,7 +7,7 @@
 )
 
 // goodMargin is the cost above that of the best server up to which a server is good enough for a random choice. It is below the cost of using an engine that
-// is reserved for other requests, and equals a failure rate of 0.45.
+// is reserved for other requests, and equals a failure rate of 0.33.
 const goodMargin = 0.12
 
 // minRise is the smallest rise of cost per request, so that servers of equal cost share the requests.
@@ -213,10 +213,8 @@
 	load := best.load
 	before := withoutCache(costOf, best)
 	best.load.Active++
-	if query.Engine {
-		best.load.Prefill[query.PriorityLevel] += query.Prompt - best.cachedTokens
-		best.load.KVTokens += query.Prompt + query.Output
-	}
+	best.load.Prefill[query.PriorityLevel] += query.Prompt - best.cachedTokens
+	best.load.KVTokens += query.Prompt + query.Output
 	perCost := 1 / (max(withoutCache(costOf, best)-before, minRise) * best.figures.rate)
 	best.load = load
 	for index, candidate := range b.eligible {
--- a/internal/request/placement/load.go
+++ b/internal/request/placement/load.go
@@ -120,10 +120,10 @@
 	}
 }
 
-// meanReportAge returns the mean age of the peers' reports, by which the tokens are estimated that an engine has prefilled since; the caller
-// holds mu.
+// meanReportAge returns the mean age of the peers' reports, by which the tokens are estimated that an engine has prefilled since; 0 at
+// load-aware services, which drain each report by its own age. The caller holds mu.
 func (b *Balancer) meanReportAge(now time.Time) time.Duration {
-	if len(b.peers) == 0 {
+	if len(b.peers) == 0 || b.settings.LoadAware {
 		return 0
 	}
 	age := time.Duration(0)
--- a/internal/role/router/measured_loads.go
+++ b/internal/role/router/measured_loads.go
@@ -31,11 +31,20 @@
 
 // mergeMeasured applies a peer's reports on load-aware services. One that fails its check is refused; the others are applied.
 func (g *gossip) mergeMeasured(now time.Time, received message) {
-	for service, report := range received.Measured {
+	mergeReports(g, received.Process, received.Measured, func(balancer *placement.Balancer, report placement.LoadReport) {
+		balancer.Merge(now, received.Process, report)
+	})
+}
+
+// mergeReports applies a peer's reports by service. One that fails its check is refused; the others are applied.
+func mergeReports[R interface{ Check() error }](
+	g *gossip, from ident.Process, reports map[ident.Pool]R, apply func(*placement.Balancer, R),
+) {
+	for service, report := range reports {
 		if err := report.Check(); err != nil {
-			g.router.journal.Log("peer_report_refused", "peer", received.Process, "service", service, "err", err)
+			g.router.journal.Log("peer_report_refused", "peer", from, "service", service, "err", err)
 			continue
 		}
-		g.router.balancers.get(service).Merge(now, received.Process, report)
+		apply(g.router.balancers.get(service), report)
 	}
 }
--- a/internal/role/router/server_health.go
+++ b/internal/role/router/server_health.go
@@ -23,13 +23,9 @@
 
 // mergeHealth applies what a peer reports about the health of servers.
 func (g *gossip) mergeHealth(now time.Time, received message) {
-	for service, report := range received.Health {
-		if err := report.Check(); err != nil {
-			g.router.journal.Log("peer_report_refused", "peer", received.Process, "service", service, "err", err)
-			continue
-		}
-		g.router.balancers.get(service).MergeHealth(now, received.Process, report)
-	}
+	mergeReports(g, received.Process, received.Health, func(balancer *placement.Balancer, report placement.HealthReport) {
+		balancer.MergeHealth(now, received.Process, report)
+	})
 }
 
 // recordHealthEvents logs and counts the changes of servers' states.
