--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -24,6 +24,20 @@
 	Window time.Duration
 	// Instances returns the number of router instances that share Extra.
 	Instances func() int
+	// OnDecision receives each decision, nil if nothing does.
+	OnDecision func(Decision)
+}
+
+// usedUpInterval is the shortest time between two decisions with UsedUp.
+const usedUpInterval = time.Second
+
+// Decision is the decision on one retry.
+type Decision struct {
+	Allowed bool
+	// UsedUp is set for the first refused retry, and for one a usedUpInterval while retries are refused. Requests and Retries are then
+	// the numbers in the window.
+	UsedUp            bool
+	Requests, Retries int
 }
 
 // Budget is the retry budget of one service. It is safe for concurrent use.
@@ -32,6 +46,8 @@
 	mu     sync.Mutex
 	// buckets are a ring of the last buckets, indexed by the bucket's number modulo their count; guarded by mu.
 	buckets [bucketsPerWindow + 1]bucket
+	// usedUpAt is when a decision last had UsedUp; guarded by mu.
+	usedUpAt time.Time
 }
 
 type bucket struct {
@@ -61,13 +77,26 @@
 
 // Take reports whether a retry is allowed, and counts it if so.
 func (b *Budget) Take(now time.Time) bool {
+	decision := b.decide(now)
+	if b.config.OnDecision != nil {
+		b.config.OnDecision(decision)
+	}
+	return decision.Allowed
+}
+
+func (b *Budget) decide(now time.Time) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.remaining(now) < 1 {
-		return false
+	if b.remaining(now) >= 1 {
+		b.bucket(now).retries++
+		return Decision{Allowed: true}
 	}
-	b.bucket(now).retries++
-	return true
+	if now.Sub(b.usedUpAt) < usedUpInterval {
+		return Decision{}
+	}
+	b.usedUpAt = now
+	requests, retries := b.count(now)
+	return Decision{UsedUp: true, Requests: requests, Retries: retries}
 }
 
 // Remaining returns the number of retries that are allowed now.
@@ -78,15 +107,20 @@
 }
 
 func (b *Budget) remaining(now time.Time) float64 {
+	requests, retries := b.count(now)
+	// One instance more than is known may have just started.
+	share := b.config.Extra / float64(b.config.Instances()+1)
+	return share + b.config.Ratio*float64(requests) - float64(retries)
+}
+
+// count returns the numbers of requests and retries in the window.
+func (b *Budget) count(now time.Time) (requests, retries int) {
 	newest := b.bucket(now).index
-	requests, retries := 0, 0
 	for _, each := range b.buckets {
 		if newest-each.index <= bucketsPerWindow {
 			requests += each.requests
 			retries += each.retries
 		}
 	}
-	// One instance more than is known may have just started.
-	share := b.config.Extra / float64(b.config.Instances()+1)
-	return share + b.config.Ratio*float64(requests) - float64(retries)
+	return requests, retries
 }
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -73,3 +73,22 @@
 	is.True(!budget.Take(now.Add(9 * time.Second)))
 	is.True(budget.Take(now.Add(11 * time.Second)))
 }
+
+// TestDecisions checks that each decision is reported, and a budget that is used up once a second.
+func TestDecisions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var decisions []retry.Decision
+	budget := retry.New(retry.Config{
+		Extra: 2, Window: 10 * time.Second, Instances: func() int { return 1 },
+		OnDecision: func(decision retry.Decision) { decisions = append(decisions, decision) },
+	})
+	now := time.Unix(1_784_000_000, 0)
+	budget.RecordRequest(now)
+	is.True(budget.Take(now))
+	for _, after := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
+		is.True(!budget.Take(now.Add(after)))
+	}
+	usedUp := retry.Decision{UsedUp: true, Requests: 1, Retries: 1}
+	is.Equal(decisions, []retry.Decision{{Allowed: true}, usedUp, {}, usedUp})
+}
--- a/internal/role/router/measured_loads_test.go
+++ b/internal/role/router/measured_loads_test.go
@@ -53,7 +53,7 @@
 
 // newMeasuredRouter returns a router with two load-aware services of many servers, and one that is not load-aware.
 func newMeasuredRouter() *Router {
-	router := &Router{balancers: newPerService(func() *placement.Balancer { return placement.New(1) })}
+	router := &Router{balancers: newPerService(func(ident.Pool) *placement.Balancer { return placement.New(1) })}
 	for _, service := range []ident.Pool{"first", "second", "other"} {
 		balancer := router.balancers.get(service)
 		balancer.Configure(placement.Settings{LoadAware: service != "other"})
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -32,6 +32,7 @@
 	announcements        *prometheus.CounterVec
 	droppedLines         *prometheus.CounterVec
 	suspectEvents        *prometheus.CounterVec
+	retries              *prometheus.CounterVec
 	quarantineEvents     *prometheus.CounterVec
 	crashes              prometheus.Counter
 	falseLoads           *prometheus.CounterVec
@@ -82,6 +83,9 @@
 			Name: "vanillapond_router_server_announcements_total",
 			Help: "What servers said about themselves in their responses, by event of the log.",
 		}, []string{"event"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "vanillapond_router_retries_total", Help: "Retries that the budget of their service allowed or refused.",
+		}, []string{"service", "outcome"}),
 		suspectEvents: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "vanillapond_router_suspect_events_total", Help: "Losses of servers that count against requests, by event of the log.",
 		}, []string{"event"}),
@@ -99,7 +103,7 @@
 	}
 	m.healthChanges = newHealthChanges()
 	m.registry.MustRegister(m.requests, m.refusals, m.firstByte, m.duration, m.attempts,
-		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents,
+		m.refusedWithFreeSlots, m.usageEvents, m.storeCalls, m.storeLatency, m.dials, m.announcements, m.droppedLines, m.suspectEvents, m.retries,
 		m.quarantineEvents, m.crashes, m.falseLoads, m.healthChanges)
 	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r}, shareCollector{r})
 	m.waits = newWaitMetrics(r, m.registry)
--- a/internal/role/router/per_service.go
+++ b/internal/role/router/per_service.go
@@ -9,13 +9,13 @@
 
 // perService holds one value per service, created on first use.
 type perService[T any] struct {
-	create func() T
+	create func(ident.Pool) T
 	mu     sync.Mutex
 	// values holds the values created so far; guarded by mu.
 	values map[ident.Pool]T
 }
 
-func newPerService[T any](create func() T) *perService[T] {
+func newPerService[T any](create func(ident.Pool) T) *perService[T] {
 	return &perService[T]{create: create, values: make(map[ident.Pool]T)}
 }
 
@@ -25,7 +25,7 @@
 	defer s.mu.Unlock()
 	value, found := s.values[service]
 	if !found {
-		value = s.create()
+		value = s.create(service)
 		s.values[service] = value
 	}
 	return value
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -88,6 +88,8 @@
 	// storeResponded is when the store last responded, as a clock.Reading.
 	storeResponded atomic.Int64
 	health         health
+	// startedAt is when the router was started.
+	startedAt clock.Reading
 	// currentBounds are the bounds of the latest settings. Components that were built with earlier bounds keep those.
 	currentBounds atomic.Pointer[platform.Bounds]
 	// cancel ends the background loops, and loops waits for them.
@@ -122,11 +124,11 @@
 		return nil, err
 	}
 	r := &Router{
-		settings: settings, fairShares: config.FairShares, build: config.Build, incarnation: incarnation,
+		settings: settings, fairShares: config.FairShares, build: config.Build, incarnation: incarnation, startedAt: clock.Boot(),
 		configuration:        &routes.Current{},
-		balancers:            newPerService(func() *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
-		admissionControllers: newPerService(func() *admission.Controller { return &admission.Controller{} }),
-		shares:               newPerService(fairshare.New),
+		balancers:            newPerService(func(ident.Pool) *placement.Balancer { return placement.New(uint64(time.Now().UnixNano())) }),
+		admissionControllers: newPerService(func(ident.Pool) *admission.Controller { return &admission.Controller{} }),
+		shares:               newPerService(func(ident.Pool) *fairshare.Controller { return fairshare.New() }),
 		health:               health{recovered: make(chan struct{})},
 	}
 	r.retryBudgets = newPerService(r.newRetryBudget)
@@ -251,14 +253,6 @@
 	return r.shares.get
 }
 
-func (r *Router) newRetryBudget() *retry.Budget {
-	bounds := r.settings.Bounds
-	return retry.New(retry.Config{
-		Ratio: retryFraction * bounds.RetryRatio, Extra: retryFraction * bounds.RetryExtra, Window: bounds.RetryWindow,
-		Instances: r.instances,
-	})
-}
-
 // warmupLimit returns the limit of a service's servers while they warm up.
 func (r *Router) warmupLimit(name ident.Pool) servers.WarmupLimit {
 	routeTable, bounds := r.configuration.Table(), r.bounds()
@@ -284,15 +278,6 @@
 	return unknownFleet
 }
 
-// retriesRemaining returns how many retries the budget allows now, by service.
-func (r *Router) retriesRemaining(now time.Time) map[ident.Pool]float64 {
-	remaining := make(map[ident.Pool]float64)
-	for service, budget := range r.retryBudgets.all() {
-		remaining[service] = budget.Remaining(now)
-	}
-	return remaining
-}
-
 // serversAge returns how old the known list of servers is; 0 before the first one.
 func (r *Router) serversAge() time.Duration {
 	read := clock.Reading(r.serversRead.Load())
--- a/internal/role/router/server_health_test.go
+++ b/internal/role/router/server_health_test.go
@@ -21,7 +21,7 @@
 	newInstance := func(process ident.Process) (*Router, func()) {
 		r := &Router{
 			journal:   journal.New(journal.Config{Out: io.Discard}),
-			balancers: newPerService(func() *placement.Balancer { return placement.New(1) }),
+			balancers: newPerService(func(ident.Pool) *placement.Balancer { return placement.New(1) }),
 		}
 		return r, func() {
 			balancer := r.balancers.get("plain")
--- a/internal/role/router/shares_test.go
+++ b/internal/role/router/shares_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	var log bytes.Buffer
 	r := &Router{
-		configuration: &routes.Current{}, shares: newPerService(fairshare.New), journal: journal.New(journal.Config{Out: &log}),
+		configuration: &routes.Current{}, shares: newPerService(func(ident.Pool) *fairshare.Controller { return fairshare.New() }), journal: journal.New(journal.Config{Out: &log}),
 	}
 	now := time.Now()
 	sender := fairshare.New()
--- a/internal/role/router/speeds_test.go
+++ b/internal/role/router/speeds_test.go
@@ -19,7 +19,7 @@
 func speedRouter(log *bytes.Buffer, servers int) *Router {
 	r := &Router{
 		journal:   journal.New(journal.Config{Out: log}),
-		balancers: newPerService(func() *placement.Balancer { return placement.New(1) }),
+		balancers: newPerService(func(ident.Pool) *placement.Balancer { return placement.New(1) }),
 	}
 	balancer := r.balancers.get("s")
 	balancer.Configure(placement.Settings{LoadAware: true, TokensPerEvent: 5})
--- a/internal/role/router/waiting.go
+++ b/internal/role/router/waiting.go
@@ -5,6 +5,7 @@
 
 	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/waiting"
+	"vanillapond/pkg/ident"
 )
 
 // waitMetrics are the metrics of the requests that wait for capacity.
@@ -54,7 +55,7 @@
 func (waitingCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- waitingDesc }
 
 // newWaiting returns the queue of a service that has got its first request, or of which a peer has told.
-func (r *Router) newWaiting() *waiting.Controller {
+func (r *Router) newWaiting(ident.Pool) *waiting.Controller {
 	queue := &waiting.Controller{}
 	if r.health.draining.Load() {
 		queue.Stop()
