--- a/internal/role/router/rate_limit_model_test.go
+++ b/internal/role/router/rate_limit_model_test.go
@@ -58,6 +58,7 @@
 type rateModelInstance struct {
 	model            *rateModel
 	name             ident.Process
+	incarnation      ident.Incarnation
 	startAt, stopAt  time.Duration
 	cutFrom, cutTo   time.Duration
 	wallError        time.Duration
@@ -77,8 +78,9 @@
 // rateModel is a fleet in virtual time, with one server.
 type rateModel struct {
 	rateModelCase
-	random    *rand.Rand
-	now       time.Duration
+	random *rand.Rand
+	// end is when the run ends.
+	now, end  time.Duration
 	rows      *table.Memory
 	instances []*rateModelInstance
 	events    []rateModelEvent
@@ -147,7 +149,7 @@
 func (i *rateModelInstance) start() {
 	m := i.model
 	i.peers = peers.New(peers.Config{
-		Table: i, Feed: i, Process: i.name, Incarnation: ident.Incarnation(i.name), Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		Table: i, Feed: i, Process: i.name, Incarnation: i.incarnation, Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		WritesPerSecond: 1200, MaxHeartbeatInterval: 3300 * time.Millisecond, Usage: func() usage.Counts { return nil },
 		Log: func(string, ...any) {}, Now: m.reading, Wall: i.wall,
 	})
@@ -190,7 +192,9 @@
 	m := i.model
 	reports := i.servers.LimitReports()
 	for _, peer := range i.peers.Peers() {
-		at := slices.IndexFunc(m.instances, func(other *rateModelInstance) bool { return other.name == peer.Process })
+		at := slices.IndexFunc(m.instances, func(other *rateModelInstance) bool {
+			return other.incarnation == peer.Incarnation
+		})
 		if at < 0 || m.random.Float64() < m.loss || i.cut() && m.cutPeers {
 			continue
 		}
@@ -245,7 +249,7 @@
 }
 
 func newRateModel(seed uint64, c rateModelCase) *rateModel {
-	m := &rateModel{rateModelCase: c, random: rand.New(rand.NewPCG(seed, seed)), rows: table.NewMemory()}
+	m := &rateModel{rateModelCase: c, random: rand.New(rand.NewPCG(seed, seed)), rows: table.NewMemory(), end: rateModelEnd}
 	for index := range c.instances {
 		instance := &rateModelInstance{
 			model: m, name: ident.Process(fmt.Sprintf("router-%03d", index)), stopAt: math.MaxInt64,
@@ -267,12 +271,15 @@
 		m.instances = append(m.instances, instance)
 	}
 	m.random.Shuffle(len(m.instances), func(a, b int) { m.instances[a].name, m.instances[b].name = m.instances[b].name, m.instances[a].name })
+	for _, instance := range m.instances {
+		instance.incarnation = ident.Incarnation(instance.name)
+	}
 	return m
 }
 
 // run plays the run; onStep is called after each step.
 func (m *rateModel) run(onStep func()) {
-	for ; m.now < rateModelEnd; m.now += rateModelStep {
+	for ; m.now < m.end; m.now += rateModelStep {
 		due := m.events
 		m.events = nil
 		for _, event := range due {
