--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -326,7 +326,7 @@
 
 // admitToService counts the request for the retry budget of its service, and refuses it if it may crash servers.
 func (c *call) admitToService() *refusal {
-	c.forwarder.config.Budget(c.service).RecordRequest(c.arrived)
+	c.forwarder.config.Budget(c.service).RecordRequest(c.forwarder.config.Now())
 	if c.forwarder.config.Suspects.Blocked(c.arrived, c.digest) {
 		return unavailable("request crashed servers before", suspectRetryAfter)
 	}
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -54,7 +54,7 @@
 			c.refuse(refused)
 			return
 		}
-		if c.reachedServer && !budget.Take(time.Now()) {
+		if c.reachedServer && !budget.Take(c.forwarder.config.Now()) {
 			c.refuse(unavailable("budget of repeats is used up", noServerRetryAfter))
 			return
 		}
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"vanillapond/internal/process/clock"
 )
 
 // bucketsPerWindow is the number of buckets that a window is divided into. The count covers one bucket more than the
@@ -41,13 +43,15 @@
 }
 
 // Budget is the retry budget of one service. It is safe for concurrent use.
+//
+// It counts by the boot-time clock: the time of day may step, and would then empty a part of the window.
 type Budget struct {
 	config Config
 	mu     sync.Mutex
 	// buckets are a ring of the last buckets, indexed by the bucket's number modulo their count; guarded by mu.
 	buckets [bucketsPerWindow + 1]bucket
 	// usedUpAt is when a decision last had UsedUp; guarded by mu.
-	usedUpAt time.Time
+	usedUpAt clock.Reading
 }
 
 type bucket struct {
@@ -59,8 +63,8 @@
 // New returns an unused budget.
 func New(config Config) *Budget { return &Budget{config: config} }
 
-func (b *Budget) bucket(now time.Time) *bucket {
-	index := now.UnixNano() / int64(b.config.Window/bucketsPerWindow)
+func (b *Budget) bucket(now clock.Reading) *bucket {
+	index := int64(now) / int64(b.config.Window/bucketsPerWindow)
 	current := &b.buckets[index%(bucketsPerWindow+1)]
 	if current.index != index {
 		*current = bucket{index: index}
@@ -69,14 +73,14 @@
 }
 
 // RecordRequest counts a caller's request.
-func (b *Budget) RecordRequest(now time.Time) {
+func (b *Budget) RecordRequest(now clock.Reading) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.bucket(now).requests++
 }
 
 // Take reports whether a retry is allowed, and counts it if so.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now clock.Reading) bool {
 	decision := b.decide(now)
 	if b.config.OnDecision != nil {
 		b.config.OnDecision(decision)
@@ -84,14 +88,14 @@
 	return decision.Allowed
 }
 
-func (b *Budget) decide(now time.Time) Decision {
+func (b *Budget) decide(now clock.Reading) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.remaining(now) >= 1 {
 		b.bucket(now).retries++
 		return Decision{Allowed: true}
 	}
-	if now.Sub(b.usedUpAt) < usedUpInterval {
+	if b.usedUpAt != 0 && now.Sub(b.usedUpAt) < usedUpInterval {
 		return Decision{}
 	}
 	b.usedUpAt = now
@@ -100,13 +104,13 @@
 }
 
 // Remaining returns the number of retries that are allowed now.
-func (b *Budget) Remaining(now time.Time) float64 {
+func (b *Budget) Remaining(now clock.Reading) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.remaining(now)
 }
 
-func (b *Budget) remaining(now time.Time) float64 {
+func (b *Budget) remaining(now clock.Reading) float64 {
 	requests, retries := b.count(now)
 	// One instance more than is known may have just started.
 	share := b.config.Extra / float64(b.config.Instances()+1)
@@ -114,7 +118,7 @@
 }
 
 // count returns the numbers of requests and retries in the window.
-func (b *Budget) count(now time.Time) (requests, retries int) {
+func (b *Budget) count(now clock.Reading) (requests, retries int) {
 	newest := b.bucket(now).index
 	for _, each := range b.buckets {
 		if newest-each.index <= bucketsPerWindow {
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/request/retry"
 )
 
@@ -22,9 +23,9 @@
 		for index := range budgets {
 			budgets[index] = retry.New(config)
 		}
-		now := time.Unix(1_784_000_000, 0)
+		now := clock.Reading(time.Hour)
 		type step struct {
-			at       time.Time
+			at       clock.Reading
 			requests int
 			retries  int
 		}
@@ -67,7 +68,7 @@
 	t.Parallel()
 	is := is.New(t)
 	budget := retry.New(retry.Config{Extra: 4, Window: 10 * time.Second, Instances: func() int { return 1 }})
-	now := time.Unix(1_784_000_000, 0)
+	now := clock.Reading(time.Hour)
 	is.True(budget.Take(now))
 	is.True(budget.Take(now))
 	is.True(!budget.Take(now.Add(9 * time.Second)))
@@ -83,7 +84,7 @@
 		Extra: 2, Window: 10 * time.Second, Instances: func() int { return 1 },
 		OnDecision: func(decision retry.Decision) { decisions = append(decisions, decision) },
 	})
-	now := time.Unix(1_784_000_000, 0)
+	now := clock.Reading(time.Hour)
 	budget.RecordRequest(now)
 	is.True(budget.Take(now))
 	for _, after := range []time.Duration{0, 500 * time.Millisecond, time.Second} {
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/process/table"
 	"vanillapond/internal/request/forward"
@@ -161,7 +162,7 @@
 
 // Collect implements prometheus.Collector.
 func (c retryBudgetCollector) Collect(values chan<- prometheus.Metric) {
-	for service, remaining := range c.router.retriesRemaining(time.Now()) {
+	for service, remaining := range c.router.retriesRemaining(clock.Boot()) {
 		values <- prometheus.MustNewConstMetric(retriesRemainingDesc, prometheus.GaugeValue, remaining, string(service))
 	}
 }
--- a/internal/role/router/retries.go
+++ b/internal/role/router/retries.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"time"
-
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/request/retry"
 	"vanillapond/pkg/ident"
@@ -32,7 +30,7 @@
 }
 
 // retriesRemaining returns how many retries the budget allows now, by service.
-func (r *Router) retriesRemaining(now time.Time) map[ident.Pool]float64 {
+func (r *Router) retriesRemaining(now clock.Reading) map[ident.Pool]float64 {
 	remaining := make(map[ident.Pool]float64)
 	for service, budget := range r.retryBudgets.all() {
 		remaining[service] = budget.Remaining(now)
--- a/internal/role/router/retry_budget_model_test.go
+++ b/internal/role/router/retry_budget_model_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/request/retry"
 	"vanillapond/pkg/ident"
 )
@@ -56,8 +57,7 @@
 type budgetModelRouter struct {
 	*rateModelInstance
 	budget *retry.Budget
-	// stepBy is by how much its time of day has stepped, heldTo is until when its links hold bytes back, and frozenTo until when it stands still.
-	stepBy           time.Duration
+	// heldTo is until when its links hold bytes back, and frozenTo until when it stands still.
 	heldTo, frozenTo time.Duration
 	// backlog counts the requests that arrived while it stood still.
 	backlog int
@@ -116,7 +116,7 @@
 	for range c.steps {
 		m.at(between(first, first+2*budgetModelWindow), func() {
 			step := time.Duration(m.random.Int64N(int64(20*time.Second))) - 10*time.Second
-			some(0.5, func(each *budgetModelRouter) { each.stepBy = step })
+			some(0.5, func(each *budgetModelRouter) { each.wallError = step })
 		})
 	}
 	for range c.held {
@@ -151,8 +151,8 @@
 	return each
 }
 
-// now returns the time by which the instance's budget counts.
-func (r *budgetModelRouter) now() time.Time { return r.wall().Add(r.stepBy) }
+// now returns the time by which the instance's budget counts: a clock of the boot time, which the steps of its time of day don't touch.
+func (r *budgetModelRouter) now() clock.Reading { return r.model.reading() }
 
 // restart kills an instance, which starts again after a while as another incarnation.
 func (m *budgetModel) restart(killed *budgetModelRouter) {
--- a/internal/role/router/state.go
+++ b/internal/role/router/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/request/placement"
 	"vanillapond/pkg/ident"
 )
@@ -83,7 +84,7 @@
 		Process: r.settings.Process, Incarnation: r.incarnation, Build: r.build, Ready: reason == "", Reason: reason,
 		Version: r.configuration.Version(), ConfigAgeMS: r.configAge().Milliseconds(), ServersAgeMS: r.serversAge().Milliseconds(),
 		StoreLost: r.health.storeUnavailable(), UnreportedWindows: r.reporter.UnreportedWindows(),
-		RetriesRemaining: r.retriesRemaining(now),
+		RetriesRemaining: r.retriesRemaining(clock.Boot()),
 	}
 	if fence, _, held := r.lease.Held(); held {
 		state.Fence = fence
