--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -230,6 +230,8 @@
 	startCounted bool
 	// reachedServer is set once a server got the request, or may have got it, whatever it did with it.
 	reachedServer bool
+	// retryRefused is set if the retry budget did not allow to send the request again.
+	retryRefused bool
 	// serversTried counts the servers that got the request or may have got it.
 	serversTried int
 	// lastEventID is the id of the last event that was relayed to the caller.
@@ -326,7 +328,7 @@
 
 // admitToService counts the request for the retry budget of its service, and refuses it if it may crash servers.
 func (c *call) admitToService() *refusal {
-	c.forwarder.config.Budget(c.service).RecordRequest(c.forwarder.config.Now())
+	c.budget().RecordRequest(c.forwarder.config.Now())
 	if c.forwarder.config.Suspects.Blocked(c.arrived, c.digest) {
 		return unavailable("request crashed servers before", suspectRetryAfter)
 	}
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -80,7 +80,7 @@
 // relayFailure relays a server's error response, unless the request may be retried at another server.
 func (c *call) relayFailure(response *direct.Response, server *servers.Server, body []byte) (attemptResult, placement.Result) {
 	if response.Status >= http.StatusInternalServerError && c.mayRetry(failedByServer) && time.Until(c.deadline) > minRemaining &&
-		c.forwarder.config.Budget(c.service).Remaining(c.forwarder.config.Now()) >= 1 {
+		c.budget().Remaining(c.forwarder.config.Now()) >= 1 {
 		return failedByServer, placement.ServerFailed
 	}
 	result := c.relayBody(response, server, body, outcomeServerFailure, "server answered with a failure")
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -11,6 +11,7 @@
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
+	"vanillapond/internal/request/retry"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -44,7 +45,6 @@
 
 // run sends the request to servers until the caller has a final response.
 func (c *call) run() {
-	budget := c.forwarder.config.Budget(c.service)
 	for undeliveredCount := 0; ; {
 		refused := c.recheck()
 		if refused == nil && c.trial && c.reachedServer {
@@ -54,14 +54,14 @@
 			c.refuse(refused)
 			return
 		}
-		if c.reachedServer && !budget.Take(c.forwarder.config.Now()) {
-			c.refuse(unavailable("budget of repeats is used up", noServerRetryAfter))
-			return
-		}
 		switch result := c.attempt(); result {
 		case done:
 			return
 		case undelivered:
+			if c.retryRefused {
+				c.refuse(retryBudgetUsedUp())
+				return
+			}
 			if undeliveredCount++; undeliveredCount >= maxUndelivered {
 				c.refuse(unavailable("servers cannot be reached", noServerRetryAfter))
 				return
@@ -150,6 +150,11 @@
 	if placed == nil {
 		return undelivered
 	}
+	if c.reachedServer && !c.budget().Allows(c.forwarder.config.Now()) {
+		placed.attempt.End(time.Now(), placement.Neutral)
+		c.refuse(retryBudgetUsedUp())
+		return done
+	}
 	c.breakCause, c.attemptAt, c.firstEventAt, c.serverFailedAt = nil, placed.at, time.Time{}, placed.choice.FailedAt
 	result, serverResult := c.exchange(placed.server, placed.attempt, placed.hasTurn)
 	now := time.Now()
@@ -263,15 +268,26 @@
 	return c.relay(response, server, attempt)
 }
 
-// confirm reports whether the request may still be sent to a server, which may have changed while the request waited for a connection.
+// confirm reports whether the request may still be sent to a server, which may have changed while the request waited for a connection. A retry draws
+// on the budget only now, when it is certain to be sent.
 func (c *call) confirm(server *servers.Server, hasTurn bool) bool {
 	if !c.forwarder.config.Servers.Accepts(server) {
 		return false
 	}
 	if !hasTurn {
-		_, hasTurn = c.forwarder.config.Servers.TakeTurn(server.ID)
+		if _, hasTurn = c.forwarder.config.Servers.TakeTurn(server.ID); !hasTurn {
+			return false
+		}
 	}
-	return hasTurn
+	c.retryRefused = c.reachedServer && !c.budget().Take(c.forwarder.config.Now())
+	return !c.retryRefused
+}
+
+// budget returns the retry budget of the service that the request goes to now.
+func (c *call) budget() *retry.Budget { return c.forwarder.config.Budget(c.service) }
+
+func retryBudgetUsedUp() *refusal {
+	return unavailable("budget of repeats is used up", noServerRetryAfter)
 }
 
 // handleSendError returns the results of an attempt that ended without a response head.
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -97,18 +97,33 @@
 
 // Take reports whether a retry is allowed, and counts it if so.
 func (b *Budget) Take(now clock.Reading) bool {
-	decision := b.decide(now)
+	decision := b.decide(now, 1)
+	b.report(decision)
+	return decision.Allowed
+}
+
+// Allows reports whether a retry would be allowed. It is for callers that have work to do before they know that the retry is sent; one that is not
+// allowed is a decision, as with Take.
+func (b *Budget) Allows(now clock.Reading) bool {
+	decision := b.decide(now, 0)
+	if !decision.Allowed {
+		b.report(decision)
+	}
+	return decision.Allowed
+}
+
+func (b *Budget) report(decision Decision) {
 	if b.config.OnDecision != nil {
 		b.config.OnDecision(decision)
 	}
-	return decision.Allowed
 }
 
-func (b *Budget) decide(now clock.Reading) Decision {
+// decide decides on a retry, and adds taken to the count of retries if it is allowed.
+func (b *Budget) decide(now clock.Reading, taken int) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.remaining(now) >= 1 {
-		b.bucket(now).retries++
+		b.bucket(now).retries += taken
 		return Decision{Allowed: true}
 	}
 	if b.usedUpAt != 0 && now.Sub(b.usedUpAt) < usedUpInterval {
--- a/internal/role/router/retries.go
+++ b/internal/role/router/retries.go
@@ -12,7 +12,7 @@
 	bounds := r.settings.Bounds
 	return retry.New(retry.Config{
 		Ratio: retryFraction * bounds.RetryRatio, Extra: retryFraction * bounds.RetryExtra, Window: bounds.RetryWindow,
-		MaxDelay:   dialTimeout + socket.UnackedTimeout,
+		MaxDelay:   socket.UnackedTimeout,
 		Instances:  r.instances,
 		OnDecision: func(decision retry.Decision) { r.recordRetryDecision(service, decision) },
 	})
--- a/internal/role/router/retry_budget_model_test.go
+++ b/internal/role/router/retry_budget_model_test.go
@@ -21,9 +21,9 @@
 	budgetModelWindow = 10 * time.Second
 	budgetModelStart  = 4 * time.Second
 	budgetModelEnd    = 44 * time.Second
-	// budgetModelMaxHeld is the longest time for which a harmed link holds a retry back before its connection ends: the time to connect and the
-	// time for which bytes may stay unacknowledged.
-	budgetModelMaxHeld = 2 * time.Second
+	// budgetModelMaxHeld is the longest time for which a harmed link holds a retry back before its connection ends: the time for which bytes
+	// may stay unacknowledged.
+	budgetModelMaxHeld = 1500 * time.Millisecond
 	// Every budgetModelBurstEvery all requests of budgetModelLost fail: as many as a sixth of the servers lose when they crash, each with the
 	// requests of one and a half seconds.
 	budgetModelBurstEvery = 15 * time.Second
