--- a/internal/process/sharedrate/sharedrate.go
+++ b/internal/process/sharedrate/sharedrate.go
@@ -22,6 +22,15 @@
 	Isolated bool
 }
 
+// Fraction returns the fraction of a fixed number that the instance may use; all instances together use at most 1. One instance more than is
+// known may have just started. The others may no longer count an isolated instance, and one that does not know them can't tell its share.
+func (s Share) Fraction() float64 {
+	if s.Count == 0 || s.Isolated {
+		return 0
+	}
+	return 1 / float64(s.Count+1)
+}
+
 // Config configures a Limiter.
 type Config struct {
 	// Window, Overage and Slack bound the requests from all instances together: in no interval of the length Window may there be more than
--- a/internal/role/router/retries.go
+++ b/internal/role/router/retries.go
@@ -12,8 +12,7 @@
 	bounds := r.settings.Bounds
 	return retry.New(retry.Config{
 		Ratio: retryFraction * bounds.RetryRatio, Extra: retryFraction * bounds.RetryExtra, Window: bounds.RetryWindow,
-		MaxDelay:   socket.UnackedTimeout,
-		Instances:  r.instances,
+		MaxDelay: socket.UnackedTimeout, Share: func() float64 { return r.peers.Share().Fraction() }, Start: r.startedAt,
 		OnDecision: func(decision retry.Decision) { r.recordRetryDecision(service, decision) },
 	})
 }
