--- a/internal/process/origin/history.go
+++ b/internal/process/origin/history.go
@@ -40,6 +40,34 @@
 	return histories
 }
 
+// SetStored records the versions of a service that the store has, those that are gone included.
+func (r *Registry) SetStored(service ident.Pool, versions []ident.Software) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored[service] = versions
+}
+
+// ForgetStored records that the store may have lost versions.
+func (r *Registry) ForgetStored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.stored)
+}
+
+// Unstored returns the versions of a service's servers that the store is not known to have. If all instances ended, those that start again
+// would not know that a stream may have begun there.
+func (r *Registry) Unstored(service ident.Pool) []ident.Software {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var unstored []ident.Software
+	for _, version := range r.present[service] {
+		if !slices.Contains(r.stored[service], version) {
+			unstored = append(unstored, version)
+		}
+	}
+	return unstored
+}
+
 // MergeHistory adds the history of a service that instances have kept in the store. They write a new version there before long, so that the
 // history was complete until the last of them ended; versions that served then may have done so until now.
 func (r *Registry) MergeHistory(service ident.Pool, history History) {
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -50,6 +50,8 @@
 	versions map[ident.Pool]map[ident.Software]clock.Reading
 	// present holds the versions of the latest list of servers; guarded by mu.
 	present map[ident.Pool][]ident.Software
+	// stored holds the versions of each service that the store has, as far as this instance knows; guarded by mu.
+	stored map[ident.Pool][]ident.Software
 	// watchedSince is when the first list of servers was known, 0 before; guarded by mu.
 	watchedSince clock.Reading
 	// completeSince is since when versions holds all of a service's versions, where that is earlier than watchedSince; guarded by mu.
@@ -76,8 +78,8 @@
 	return &Registry{
 		config: config, streams: make(map[ident.Request]*stream), unshared: make(map[ident.Pool][]ident.Request),
 		pending:       make(chan struct{}, 1),
-		completeSince: make(map[ident.Pool]clock.Reading),
-		versions:      make(map[ident.Pool]map[ident.Software]clock.Reading), waiting: make(map[*Question]struct{}),
+		completeSince: make(map[ident.Pool]clock.Reading), stored: make(map[ident.Pool][]ident.Software),
+		versions: make(map[ident.Pool]map[ident.Software]clock.Reading), waiting: make(map[*Question]struct{}),
 	}
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -47,6 +47,8 @@
 type Origins interface {
 	// Begin records that a stream began, or goes on, at this instance.
 	Begin(stream origin.Origin)
+	// Unstored returns the software versions of a service's servers of which instances that start anew would not know.
+	Unstored(service ident.Pool) []ident.Software
 	// Find returns where a stream began, false if that is not certain. A stream that is not known may have begun only at the given service. It
 	// may ask other instances for a short time.
 	Find(ctx context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool)
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -135,11 +135,15 @@
 
 // fixedOrigin says the same of each stream. The zero value says that it began at the given service, at servers without a software version, as
 // those of most tests are.
-type fixedOrigin origin.Origin
+type fixedOrigin struct {
+	origin.Origin
+	unstored []ident.Software
+}
 
-func (*fixedOrigin) Begin(origin.Origin) {}
+func (*fixedOrigin) Begin(origin.Origin)                    {}
+func (o *fixedOrigin) Unstored(ident.Pool) []ident.Software { return o.unstored }
 func (o *fixedOrigin) Find(_ context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool) {
-	began := origin.Origin(*o)
+	began := o.Origin
 	began.Stream = stream
 	if began.Service == "" {
 		began.Service = service
--- a/internal/request/forward/software.go
+++ b/internal/request/forward/software.go
@@ -44,22 +44,47 @@
 	}
 }
 
-// excludeServers excludes the servers that must not get the request now: those to which this instance has no turn, and those with another
-// software version than the one that began the stream.
+// excludeServers excludes the servers that must not get the request now: those to which this instance has no turn, those with another
+// software version than the one that began the stream, and, while there are others, those at which no stream should begin yet.
 func (c *call) excludeServers(ready []*servers.Server) {
 	withoutTurn := c.forwarder.config.Servers.WithoutTurn()
 	c.query.Exclude, c.query.Later = withoutTurn, withoutTurn
-	if !c.begun {
+	otherVersions := c.otherVersions(ready)
+	if len(otherVersions) == 0 {
 		return
 	}
-	var otherVersions []ident.Endpoint
+	c.query.Exclude = slices.Concat(withoutTurn, otherVersions)
+	c.query.Later = slices.DeleteFunc(withoutTurn, func(id ident.Endpoint) bool { return slices.Contains(otherVersions, id) })
+}
+
+// otherVersions returns the servers whose software version the request should not get.
+func (c *call) otherVersions(ready []*servers.Server) []ident.Endpoint {
+	var others []ident.Endpoint
+	if c.begun {
+		for _, server := range ready {
+			if server.Software != c.software {
+				others = append(others, server.ID)
+			}
+		}
+		return others
+	}
+	if c.route.Kind != platform.Streaming || !c.mayRunTwice() {
+		return nil
+	}
+	unstored := c.forwarder.config.Origins.Unstored(c.service)
+	if len(unstored) == 0 {
+		return nil
+	}
 	for _, server := range ready {
-		if server.Software != c.software {
-			otherVersions = append(otherVersions, server.ID)
+		if slices.Contains(unstored, server.Software) {
+			others = append(others, server.ID)
 		}
 	}
-	c.query.Exclude = slices.Concat(withoutTurn, otherVersions)
-	c.query.Later = slices.DeleteFunc(withoutTurn, func(id ident.Endpoint) bool { return slices.Contains(otherVersions, id) })
+	if len(others) == len(ready) {
+		// No server has a version that the store knows: it accepts no writes, or the service is new.
+		return nil
+	}
+	return others
 }
 
 // noServerReason returns why no server takes the request.
--- a/internal/request/forward/software_test.go
+++ b/internal/request/forward/software_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -113,3 +115,30 @@
 	is.NoErr(err)
 	is.Equal(eventIDs(body), "4 5")
 }
+
+// TestStreamsBeginAtStoredVersions checks that a stream that may be taken up begins at a version that the store does not know only if no server has
+// another one; other requests may go there.
+func TestStreamsBeginAtStoredVersions(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		path     string
+		versions []ident.Software
+		unstored []ident.Software
+		used     []ident.Software
+	}{
+		{"/resume/", []ident.Software{"v1", "v2", "v2"}, []ident.Software{"v2"}, []ident.Software{"v1"}},
+		{"/resume/", []ident.Software{"v2", "v3", "v2"}, []ident.Software{"v2", "v3"}, []ident.Software{"v2", "v3"}},
+		{"/stream/", []ident.Software{"v1", "v2", "v2"}, []ident.Software{"v2"}, []ident.Software{"v1", "v2"}},
+	} {
+		is := is.New(t)
+		h, log := newSoftwareHarness(t, c.versions...)
+		h.origin.unstored = c.unstored
+		used := make(map[ident.Software]bool)
+		for index := range 20 {
+			id := "id-" + strconv.Itoa(index)
+			_, _, _ = h.send(t, c.path, func(r *http.Request) { r.Header.Set(platform.HeaderRequestID, id) })
+			used[log.versions[id][0]] = true
+		}
+		is.Equal(slices.Sorted(maps.Keys(used)), c.used)
+	}
+}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -339,6 +339,7 @@
 	r.journal.Log("store_restored", "era", era, "version", r.configuration.Version())
 	r.servers.ObserveRestore()
 	r.rewriteVerdicts()
+	r.origins.known.ForgetStored()
 	r.requestSoftwareSync()
 }
 
--- a/internal/role/router/origins.go
+++ b/internal/role/router/origins.go
@@ -79,6 +79,9 @@
 // Begin implements forward.Origins.
 func (o *origins) Begin(stream origin.Origin) { o.known.Begin(stream) }
 
+// Unstored implements forward.Origins.
+func (o *origins) Unstored(service ident.Pool) []ident.Software { return o.known.Unstored(service) }
+
 // Find implements forward.Origins.
 func (o *origins) Find(ctx context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool) {
 	if known, found := o.known.Lookup(stream); found {
--- a/internal/role/router/software.go
+++ b/internal/role/router/software.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -21,9 +22,10 @@
 const (
 	// softwareTable holds the software versions that each service has had, for instances that start.
 	softwareTable = "software"
-	// softwareWriteSpread is the time over which each instance of the fleet delays its look at the rows after a change, so that most find that
-	// another has written it.
-	softwareWriteSpread = 20 * time.Millisecond
+	// softwareWriteSpread is the time for each instance of the fleet over which all but one delay their look at the rows after a change, so that
+	// they find that another has written it; maxSoftwareWriteSpread bounds it, since until then they begin no streams at a new version.
+	softwareWriteSpread    = 20 * time.Millisecond
+	maxSoftwareWriteSpread = time.Second
 	// softwareTolerance is the difference of a time for which alone a row is not written: instances notice a change at different times.
 	softwareTolerance = time.Second
 	// firstStartHistory is how far back the history of a system reaches that starts for the first time.
@@ -82,11 +84,16 @@
 		case <-ctx.Done():
 			return
 		}
-		if !first {
-			spread := softwareWriteSpread * time.Duration(r.peers.FleetSize())
+		if share := r.peers.Share(); !first && share.Rank > 0 {
+			spread := min(softwareWriteSpread*time.Duration(share.Count), maxSoftwareWriteSpread)
 			clock.Sleep(ctx, rand.N(spread), nil) //nolint:gosec // Spreads load only.
 		}
 		for err := r.mergeSoftware(ctx); err != nil && ctx.Err() == nil; err = r.mergeSoftware(ctx) {
+			if errors.Is(err, table.ErrConflict) {
+				// Another instance has just written what this one may not know yet.
+				clock.Sleep(ctx, rand.N(softwareWriteSpread), nil) //nolint:gosec // Spreads load only.
+				continue
+			}
 			r.journal.Log("software_unsynced", "err", err)
 			clock.Sleep(ctx, storeTimeout, r.health.storeRecovered())
 		}
@@ -112,6 +119,7 @@
 			continue
 		}
 		stored[service] = row
+		r.origins.known.SetStored(service, row.versions())
 		r.origins.known.MergeHistory(service, row.history(storeTime, now))
 	}
 	if len(batch.Changes) == 0 && r.settings.FirstStart {
@@ -127,6 +135,7 @@
 		if err := r.writeSoftware(ctx, service, row, revisions[service]); err != nil {
 			return err
 		}
+		r.origins.known.SetStored(service, row.versions())
 	}
 	return nil
 }
@@ -162,6 +171,11 @@
 	return history
 }
 
+// versions returns all versions that the row holds.
+func (s softwareRow) versions() []ident.Software {
+	return slices.AppendSeq(slices.Clone(s.Present), maps.Keys(s.GoneMS))
+}
+
 // covers reports whether the row needs no change to say what another does. It may hold further versions that are gone, or later times of them.
 func (s softwareRow) covers(other softwareRow) bool {
 	tolerance := softwareTolerance.Milliseconds()
--- a/internal/role/router/software_test.go
+++ b/internal/role/router/software_test.go
@@ -15,6 +15,8 @@
 
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
+	"vanillapond/platform/platformtest"
+	"vanillapond/platform/storewire"
 )
 
 // startStreamServer starts and registers a server with a software version. It sends the first three events of a stream and waits for the
@@ -201,3 +203,52 @@
 	}
 	h.stop()
 }
+
+// TestNewVersionIsStoredBeforeItsStreamsBegin guards against streams that are joined from two software versions: a new version began streams while the
+// store accepted no writes, its servers ended together with all routers, and the routers that started again took the old version for the only one.
+func TestNewVersionIsStoredBeforeItsStreamsBegin(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRouters(t, 2)
+	h.store.Delete(platform.ServersTable, "i-1")
+	h.startStreamServer(t, "i-10", "")
+	for index := range 2 {
+		eventually(t, "servers known", func() bool { return len(h.state(t, index).Servers) == 1 })
+	}
+	eventually(t, "versions stored", func() bool { return len(h.store.Rows("software")) > 0 })
+	h.store.InjectFaults(func(path string, _ int) platformtest.Fault {
+		if path == storewire.PathCommit {
+			return platformtest.Refuse
+		}
+		return 0
+	})
+	h.startStreamServer(t, "i-20", "v2")
+	for index := range 2 {
+		eventually(t, "servers known", func() bool { return len(h.state(t, index).Servers) == 2 })
+	}
+	const streams = 20
+	begun := make([]string, streams)
+	for index := range streams {
+		status, versions, _ := h.stream(t, index%2, "first-"+strconv.Itoa(index), "", 3)
+		is.Equal(status, http.StatusOK)
+		begun[index] = versions[0]
+	}
+	h.store.Delete(platform.ServersTable, "i-20")
+	h.restartAll(t)
+	h.store.ClearFaults()
+	goesOn := 0
+	for index := range streams {
+		id := "first-" + strconv.Itoa(index)
+		eventually(t, "stream taken up", func() bool {
+			status, versions, _ := h.stream(t, index%2, "second-"+strconv.Itoa(index), id, 2)
+			if status != http.StatusOK {
+				return begun[index] != ""
+			}
+			goesOn++
+			is.Equal(versions, []string{begun[index], begun[index]})
+			return true
+		})
+	}
+	is.True(goesOn > 0)
+	h.stop()
+}
