--- a/internal/role/router/software.go
+++ b/internal/role/router/software.go
@@ -127,17 +127,20 @@
 			r.origins.known.MergeHistory(service, origin.History{Since: now.Add(-firstStartHistory)})
 		}
 	}
+	var failed error
 	for service, history := range r.origins.known.Histories() {
 		row := newSoftwareRow(history, storeTime)
 		if known, found := stored[service]; found && known.covers(row) {
 			continue
 		}
 		if err := r.writeSoftware(ctx, service, row, revisions[service]); err != nil {
-			return err
+			// The rows of other services are still written.
+			failed = errors.Join(failed, err)
+			continue
 		}
 		r.origins.known.SetStored(service, row.versions())
 	}
-	return nil
+	return failed
 }
 
 func (r *Router) writeSoftware(ctx context.Context, service ident.Pool, row softwareRow, revision table.Revision) error {
