--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -55,8 +55,6 @@
 	// ID is the request id, which the server returns in the response header IDHeader.
 	ID       string
 	IDHeader string
-	// RefusalHeaders are headers that mark a response which may lack the ID, because the server did not run the request.
-	RefusalHeaders []string
 	// Confirm is called when a connection is available, which may take a while, and before anything is sent; the request is given up
 	// if it returns false. nil means that the request is always sent.
 	Confirm func() bool
@@ -149,8 +147,9 @@
 	}
 }
 
-// takeIdle returns an idle connection that the server has neither closed nor sent bytes on, or nil.
-func (p *Pool) takeIdle(atMostOnce bool, idleSince time.Time) *conn {
+// takeIdle returns an idle connection that the server has neither closed nor sent bytes on, and that has not carried a request with the same id, or
+// nil.
+func (p *Pool) takeIdle(request *Request) *conn {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -160,18 +159,18 @@
 		}
 		c := p.idle[len(p.idle)-1]
 		limit := c.idleTimeout
-		if atMostOnce {
+		if request.AtMostOnce {
 			limit = min(limit, atMostOnceIdleTimeout)
 		}
 		age := now.Sub(c.idleSince)
-		outdated := c.idleSince.Before(idleSince)
-		if atMostOnce && !outdated && age > limit && age <= c.idleTimeout {
+		outdated := c.idleSince.Before(request.IdleSince)
+		if request.AtMostOnce && !outdated && age > limit && age <= c.idleTimeout {
 			p.mu.Unlock()
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
-		if !outdated && age <= limit && socket.IsIdle(c.Conn) {
+		if !outdated && age <= limit && !c.hasCarried(request.ID) && socket.IsIdle(c.Conn) {
 			c.reused = true
 			return c
 		}
@@ -181,7 +180,7 @@
 
 // connect returns an idle or a new connection.
 func (p *Pool) connect(ctx context.Context, request *Request) (*conn, error) {
-	if c := p.takeIdle(request.AtMostOnce, request.IdleSince); c != nil {
+	if c := p.takeIdle(request); c != nil {
 		return c, nil
 	}
 	p.mu.Lock()
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -29,6 +29,8 @@
 	maxInlineBody = 4 << 10
 	// maxHeadBytes bounds a response's head together with the interim responses before it.
 	maxHeadBytes = 64 << 10
+	// maxCarried is how many requests ago a connection carried those whose id it does not carry again.
+	maxCarried = 16
 	// maxUnmatched is how many responses to other requests are skipped before the connection is closed.
 	maxUnmatched = 3
 	// maxUnmatchedBytes bounds the body of a skipped response.
@@ -43,6 +45,9 @@
 	limit *readLimit
 	// reused means that the connection carried a request before.
 	reused bool
+	// carried holds the ids of the latest requests, count in all: the response to one of them may arrive once more.
+	carried [maxCarried]string
+	count   int
 	// idleSince and idleTimeout are only valid while the connection is idle.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -53,6 +58,14 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, idleTimeout: defaultIdleTimeout}
 }
 
+// hasCarried reports whether one of the latest requests had this id.
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried[:], id) }
+
+func (c *conn) carry(id string) {
+	c.carried[c.count%maxCarried] = id
+	c.count++
+}
+
 // readLimit is a reader that fails after a number of bytes. Unlike with an io.LimitedReader, the limit can't be taken for the end of
 // the connection, which completes a response without a length.
 type readLimit struct {
@@ -120,6 +133,7 @@
 
 func (r *Response) exchange(request *Request) error {
 	message := encode(request)
+	r.conn.carry(request.ID)
 	if len(request.Body) <= maxInlineBody {
 		_, err := r.conn.Write(message)
 		close(r.written)
@@ -186,18 +200,14 @@
 	}
 }
 
-// isResponseTo reports whether a response belongs to the request. A response without an id does if the connection is new or
-// if the response refuses a request.
+// isResponseTo reports whether a response belongs to the request. A response without an id does only if the connection is new: a server may write an
+// earlier one once more, also one that says that the request was not run.
 func isResponseTo(httpResponse *http.Response, request *Request, reused bool) bool {
 	id := httpResponse.Header.Get(request.IDHeader)
 	if id != "" {
 		return id == request.ID
 	}
-	if !reused {
-		return true
-	}
-	return httpResponse.StatusCode == http.StatusMisdirectedRequest ||
-		slices.ContainsFunc(request.RefusalHeaders, func(name string) bool { return httpResponse.Header.Get(name) != "" })
+	return !reused
 }
 
 func (r *Response) accept(httpResponse *http.Response) {
