--- a/internal/role/router/rate_limit_model_test.go
+++ b/internal/role/router/rate_limit_model_test.go
@@ -52,6 +52,8 @@
 	cutStore, cutPeers bool
 	// loss is the fraction of datagrams that are lost.
 	loss float64
+	// steps is how often the time of day steps on half of the instances.
+	steps int
 }
 
 // rateModelInstance is one simulated router instance.
@@ -270,6 +272,16 @@
 		}
 		m.instances = append(m.instances, instance)
 	}
+	for range c.steps {
+		m.after(time.Duration(m.random.Int64N(int64(rateModelEnded))), func() {
+			step := time.Duration(m.random.Int64N(int64(20*time.Second))) - 10*time.Second
+			for _, instance := range m.instances {
+				if m.random.IntN(2) == 0 {
+					instance.wallError = step
+				}
+			}
+		})
+	}
 	m.random.Shuffle(len(m.instances), func(a, b int) { m.instances[a].name, m.instances[b].name = m.instances[b].name, m.instances[a].name })
 	for _, instance := range m.instances {
 		instance.incarnation = ident.Incarnation(instance.name)
@@ -341,7 +353,7 @@
 		"calm": {}, "lossy": {loss: 0.3}, "joining": {joins: 2}, "leaving": {leaves: 2}, "churn": {joins: 2, leaves: 2, loss: 0.05},
 		"cut from store": {cuts: 2, cutStore: true}, "cut from peers": {cuts: 2, cutPeers: true},
 		"cut from all": {cuts: 2, cutStore: true, cutPeers: true}, "half cut": {cuts: -2, cutStore: true, cutPeers: true},
-		"all cut from store": {cuts: -1, cutStore: true}, "doubled": {joins: -2},
+		"all cut from store": {cuts: -1, cutStore: true}, "doubled": {joins: -2}, "clock steps": {steps: 12}, "clock steps, churn": {steps: 12, joins: 2, leaves: 2},
 	}
 	fleets, rates := []int{2, 4, 9, 30, 60}, []float64{0, 0.5, 1, 2.5, 8, 40}
 	if *rateModelSeeds == 0 {
