--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -18,12 +18,24 @@
 	// lossShareTime is for how long each loss is reported, in case a report is lost, and maxRecentLosses bounds a report.
 	lossShareTime   = 3 * time.Second
 	maxRecentLosses = 256
+	// maxBlockedReported bounds the blocked requests in a report.
+	maxBlockedReported = 64
 )
 
 // Loss is the loss of a server while it ran the request with this digest.
 type Loss struct {
 	Digest uint64         `cbor:"1,keyasint"`
 	Server ident.Endpoint `cbor:"2,keyasint"`
+	// AgeMS is how long ago the request last lost a server, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// age returns how long ago the request last lost a server; false if the loss does not count any more, or its age is out of range.
+func (l Loss) age() (time.Duration, bool) {
+	if l.AgeMS < 0 || l.AgeMS > suspectTTL.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(l.AgeMS) * time.Millisecond, true
 }
 
 // SuspectEvent is a change of what a SuspectList holds about a request.
@@ -93,19 +105,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, loss := range losses {
-		s.add(now, loss, "loss_received")
+		if age, counts := loss.age(); counts {
+			s.add(now.Add(-age), loss, "loss_received")
+		}
 	}
 }
 
 // add adds a loss; event names the way on which it came. The caller holds mu.
-func (s *SuspectList) add(now time.Time, loss Loss, event string) {
+func (s *SuspectList) add(at time.Time, loss Loss, event string) {
 	entry := s.entries[loss.Digest]
 	if entry == nil {
-		s.evict(now)
+		s.evict(at)
 		entry = &suspectEntry{}
 		s.entries[loss.Digest] = entry
 	}
-	entry.lastLoss = now
+	if at.After(entry.lastLoss) {
+		entry.lastLoss = at
+	}
 	for _, server := range entry.servers {
 		if server == loss.Server {
 			return
@@ -148,6 +164,28 @@
 	losses := make([]Loss, len(s.recent))
 	for index, loss := range s.recent {
 		losses[index] = loss.Loss
+		losses[index].AgeMS = now.Sub(loss.at).Milliseconds()
+	}
+	return losses
+}
+
+// BlockedLosses returns the losses of requests that are blocked, at most those of maxBlockedReported requests, for instances that start and know
+// none.
+func (s *SuspectList) BlockedLosses(now time.Time) []Loss {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var losses []Loss
+	for digest, entry := range s.entries {
+		age := now.Sub(entry.lastLoss)
+		if entry.count() < lossLimit || age >= suspectTTL {
+			continue
+		}
+		for _, server := range entry.servers[len(entry.servers)-lossLimit:] {
+			losses = append(losses, Loss{Digest: digest, Server: server, AgeMS: max(age, 0).Milliseconds()})
+		}
+		if len(losses) >= maxBlockedReported*lossLimit {
+			break
+		}
 	}
 	return losses
 }
--- a/internal/request/forward/suspects_test.go
+++ b/internal/request/forward/suspects_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"vanillapond/internal/request/forward"
+	"vanillapond/pkg/ident"
 )
 
 // TestLostLossReport verifies that losses count at another instance although a report of them was lost, each once, and that those that a
@@ -44,3 +45,43 @@
 	b.RecordLoss(now, 7, "s5")
 	is.True(b.Blocked(now, 7))
 }
+
+// TestStartedInstanceLearnsBlockedRequests guards against requests that crash three servers once more at each instance that starts: losses were
+// reported for 3 s only.
+func TestStartedInstanceLearnsBlockedRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	a, b := forward.NewSuspectList(nil), forward.NewSuspectList(nil)
+	for _, server := range []ident.Endpoint{"s1", "s2", "s3"} {
+		a.RecordLoss(now, 7, server)
+	}
+	a.RecordLoss(now, 8, "s1")
+	later := now.Add(30 * time.Second)
+	b.Merge(later, a.BlockedLosses(later))
+	is.True(b.Blocked(later, 7))
+	is.True(!b.Blocked(later, 8))
+	// Reports that go back and forth do not extend the time for which it is blocked.
+	for at := later; at.Before(now.Add(61 * time.Second)); at = at.Add(time.Second) {
+		a.Merge(at, b.BlockedLosses(at))
+		b.Merge(at, a.BlockedLosses(at))
+	}
+	is.True(!b.Blocked(now.Add(61*time.Second), 7))
+	is.Equal(len(b.BlockedLosses(now.Add(61*time.Second))), 0)
+	b.Merge(later, []forward.Loss{{Digest: 9, Server: "s1", AgeMS: -1}, {Digest: 9, Server: "s2", AgeMS: 1 << 60}})
+	is.Equal(len(b.Recent(later)), 0)
+}
+
+// TestBlockedLossesAreBounded checks that a report stays short, however many requests are blocked.
+func TestBlockedLossesAreBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	list := forward.NewSuspectList(nil)
+	for digest := range uint64(1000) {
+		for _, server := range []ident.Endpoint{"s1", "s2", "s3", "s4"} {
+			list.RecordLoss(now, digest, server)
+		}
+	}
+	is.True(len(list.BlockedLosses(now)) <= 64*3)
+}
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -274,9 +274,10 @@
 	return outgoing
 }
 
-// addStatistics adds what this instance has measured over some seconds.
+// addStatistics adds what this instance has seen over some seconds.
 func (r *Router) addStatistics(outgoing *message) {
 	outgoing.Speeds = r.speedReports(time.Now())
+	outgoing.Losses = append(outgoing.Losses, r.suspects.BlockedLosses(time.Now())...)
 }
 
 // localLoad returns this instance's load by service. Services without load are included, so that peers drop the load of
