--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -55,6 +55,8 @@
 	// ID is the request id, which the server returns in the response header IDHeader.
 	ID       string
 	IDHeader string
+	// RefusalHeaders are headers that mark a response which may lack the ID, because the server did not run the request.
+	RefusalHeaders []string
 	// Confirm is called when a connection is available, which may take a while, and before anything is sent; the request is given up
 	// if it returns false. nil means that the request is always sent.
 	Confirm func() bool
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -200,14 +200,18 @@
 	}
 }
 
-// isResponseTo reports whether a response belongs to the request. A response without an id does only if the connection is new: a server may write an
-// earlier one once more, also one that says that the request was not run.
+// isResponseTo reports whether a response belongs to the request. A response without an id does if the connection is new, or if it refuses a
+// request: refusals have none. A connection ends with its first refusal without an id, so that this one is not an earlier one once more.
 func isResponseTo(httpResponse *http.Response, request *Request, reused bool) bool {
 	id := httpResponse.Header.Get(request.IDHeader)
 	if id != "" {
 		return id == request.ID
 	}
-	return !reused
+	if !reused {
+		return true
+	}
+	return httpResponse.StatusCode == http.StatusMisdirectedRequest ||
+		slices.ContainsFunc(request.RefusalHeaders, func(name string) bool { return httpResponse.Header.Get(name) != "" })
 }
 
 func (r *Response) accept(httpResponse *http.Response) {
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -246,7 +246,7 @@
 	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
-		ID: c.record.ID, IDHeader: platform.HeaderRequestID,
+		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(), IdleSince: c.serverFailedAt,
 		Confirm: func() bool { return c.confirm(server, hasTurn) },
 	})
