--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -105,6 +105,7 @@
 	limits            *rateLimits
 	versions          *softwareVersions
 	loads             *loadHeaders
+	restarts          *restarts
 	// part is nil for seeds without engines.
 	part *crashingPart
 }
@@ -146,7 +147,7 @@
 		executions: make(map[string][]executionRecord), requests: make(map[string]callerRequest), withdrawn: make(map[string]time.Time),
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
-		unframed: newUnframedResponses(seed), limits: newRateLimits(seed), versions: newSoftwareVersions(seed), loads: newLoadHeaders(seed), part: newCrashingPart(seed),
+		unframed: newUnframedResponses(seed), limits: newRateLimits(seed), versions: newSoftwareVersions(seed), loads: newLoadHeaders(seed), restarts: newRestarts(seed), part: newCrashingPart(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -296,6 +297,9 @@
 // serve is the handler of a backend: it records the execution and sends a response that contains the request ID.
 func (e *environment) serve(id ident.Endpoint, w http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get(platform.HeaderRequestID)
+	if e.restarts.arrive(request, w) {
+		return
+	}
 	if expected := r.Header.Get(platform.HeaderExpectedServer); expected != string(id) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -364,7 +368,7 @@
 		Process: "front-" + strconv.Itoa(index), CallersAddress: router.callerAddress, ReadyAddress: router.readyAddress, PeerPort: peerPort,
 		StoreAddress: router.store.address(), DutiesAddress: e.duties.Address(),
 		Revoke: revocationBound, Drain: drainTimeout, Grace: gracePeriod, Contact: recoveryBound,
-		UsageWindow: usageWindow, UsageLate: usageReportDelay,
+		UsageWindow: usageWindow, UsageLate: usageReportDelay, RetryRatio: e.restarts.retryRatio(),
 	})
 	if err := os.WriteFile(router.settings, []byte(content), 0o600); err != nil {
 		e.t.Fatal(err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,7 +4,8 @@
 // One seed: go test ./soak -run Soak -first 7 -seeds 1. Many: go test ./soak -run Soak -first 1 -seeds 50 -timeout 60m.
 // Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and those from
 // 30,000 on also unframed responses. Those from 40,000 to 59,999 run engines, which a part of prompts crashes; those from 60,000 on add rate
-// limits that servers name and servers of several software versions, and those from 70,000 on a load-aware service whose servers state their load, truly or not. -routers 60 tests a large fleet.
+// limits that servers name and servers of several software versions, and those from 70,000 on a load-aware service whose servers state their load, truly or not. Those from 80,000 on
+// check the retry budget while most requests fail and routers are interrupted in series. -routers 60 tests a large fleet.
 // The environment variable SOAK_LOGS names a folder for the processes' logs.
 package soak_test
 
@@ -60,6 +61,7 @@
 	firstCrashingPartSeed + 1, firstCrashingPartSeed + 2,
 	firstSharedDecisionSeed + 1, firstSharedDecisionSeed + 2,
 	firstLoadAwareSeed + 1, firstLoadAwareSeed + 2,
+	firstRestartSeed + 1, firstRestartSeed + 2,
 }
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
@@ -76,9 +78,12 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			e := newEnvironment(t, binary, seed)
-			if e.part != nil {
+			switch {
+			case e.part != nil:
 				e.runCrashingPart()
-			} else {
+			case e.restarts.enabled:
+				e.runRestarts()
+			default:
 				e.runSeed()
 			}
 			for _, failure := range e.failures {
