--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -151,20 +151,23 @@
 	return began, true
 }
 
+// harnessStart is the reading of a harness's clock at its start.
+const harnessStart = clock.Reading(time.Hour)
+
 // newBudget returns a budget that allows a number of retries.
 func newBudget(retries float64) *retry.Budget {
 	const window = 10 * time.Second
 	// The instance earned half of the retries in the window before, and a little is lost where that begins inside a bucket.
 	extra := 2*retries + 0.2*retries
 	return retry.New(retry.Config{
-		Extra: extra, Window: window, Share: func() float64 { return 1 }, Start: clock.Boot().Add(-4 * window),
+		Extra: extra, Window: window, Share: func() float64 { return 1 }, Start: harnessStart.Add(-4 * window),
 	})
 }
 
 // newHarness starts a forwarder and one server for each handler; extra is the number of retries that the budget allows.
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
-	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: clock.Reading(time.Hour), shares: fairshare.New()}
+	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: harnessStart, shares: fairshare.New()}
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
 			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second})
