--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -7,12 +7,13 @@
 	"vanillapond/pkg/ident"
 )
 
+// SuspectTTL is how long a request counts as a suspect after its last loss.
+const SuspectTTL = 60 * time.Second
+
 // Limits of the tracking of suspects.
 const (
 	// lossLimit is how many different servers must be lost while they ran a request before it is refused.
 	lossLimit = 3
-	// suspectTTL is how long a request counts as a suspect after its last loss.
-	suspectTTL = 60 * time.Second
 	// maxSuspects bounds the length of a SuspectList; evict chooses the suspects that are dropped.
 	maxSuspects = 4096
 	// lossShareTime is for how long each loss is reported, in case a report is lost, and maxRecentLosses bounds a report.
@@ -32,7 +33,7 @@
 
 // age returns how long ago the request last lost a server; false if the loss does not count any more, or its age is out of range.
 func (l Loss) age() (time.Duration, bool) {
-	if l.AgeMS < 0 || l.AgeMS > suspectTTL.Milliseconds() {
+	if l.AgeMS < 0 || l.AgeMS > SuspectTTL.Milliseconds() {
 		return 0, false
 	}
 	return time.Duration(l.AgeMS) * time.Millisecond, true
@@ -46,6 +47,8 @@
 	Server ident.Endpoint
 	// Servers is the number of different servers that count against the request, before they were cleared.
 	Servers int
+	// Blocked means that the request is refused from now on.
+	Blocked bool
 }
 
 // SuspectList implements Suspects in memory. Router instances exchange their losses, so that each counts those of all.
@@ -81,12 +84,36 @@
 	return &SuspectList{onEvent: onEvent, entries: make(map[uint64]*suspectEntry)}
 }
 
+// BlockedLossesOf returns the losses for which a request is blocked, none if it is not.
+func (s *SuspectList) BlockedLossesOf(now time.Time, digest uint64) []Loss {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blocking(now, digest)
+}
+
+// blocking returns the losses for which a request is blocked; the caller holds mu.
+func (s *SuspectList) blocking(now time.Time, digest uint64) []Loss {
+	entry := s.entries[digest]
+	if entry == nil {
+		return nil
+	}
+	age := now.Sub(entry.lastLoss)
+	if entry.count() < lossLimit || age >= SuspectTTL {
+		return nil
+	}
+	losses := make([]Loss, 0, lossLimit)
+	for _, server := range entry.servers[len(entry.servers)-lossLimit:] {
+		losses = append(losses, Loss{Digest: digest, Server: server, AgeMS: max(age, 0).Milliseconds()})
+	}
+	return losses
+}
+
 // Blocked implements Suspects.
 func (s *SuspectList) Blocked(now time.Time, digest uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.entries[digest]
-	return entry != nil && entry.count() >= lossLimit && now.Sub(entry.lastLoss) < suspectTTL
+	return entry != nil && entry.count() >= lossLimit && now.Sub(entry.lastLoss) < SuspectTTL
 }
 
 // RecordLoss implements Suspects.
@@ -128,7 +155,7 @@
 		}
 	}
 	entry.servers = append(entry.servers, loss.Server)
-	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: entry.count()})
+	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: entry.count(), Blocked: entry.count() >= lossLimit})
 }
 
 // evict makes room for one entry if the list is full: it removes expired entries, and others in arbitrary order while the list
@@ -138,7 +165,7 @@
 		return
 	}
 	for digest, entry := range s.entries {
-		if now.Sub(entry.lastLoss) > suspectTTL || len(s.entries) >= maxSuspects {
+		if now.Sub(entry.lastLoss) > SuspectTTL || len(s.entries) >= maxSuspects {
 			delete(s.entries, digest)
 		}
 	}
@@ -175,14 +202,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var losses []Loss
-	for digest, entry := range s.entries {
-		age := now.Sub(entry.lastLoss)
-		if entry.count() < lossLimit || age >= suspectTTL {
-			continue
-		}
-		for _, server := range entry.servers[len(entry.servers)-lossLimit:] {
-			losses = append(losses, Loss{Digest: digest, Server: server, AgeMS: max(age, 0).Milliseconds()})
-		}
+	for digest := range s.entries {
+		losses = append(losses, s.blocking(now, digest)...)
 		if len(losses) >= maxBlockedReported*lossLimit {
 			break
 		}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -69,7 +69,7 @@
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
 		r.followTable(quarantineTable, verdictsPollTimeout, 0, r.applyVerdicts),
-		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.origins.share, r.syncSoftware,
+		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.keepSuspects, r.origins.share, r.syncSoftware,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -276,12 +276,6 @@
 	return strings.Join(texts, ",")
 }
 
-// recordSuspect logs and counts what becomes of the losses of servers that count against a request.
-func (r *Router) recordSuspect(event forward.SuspectEvent) {
-	r.metrics.suspectEvents.WithLabelValues(event.Name).Inc()
-	r.journal.Log(event.Name, "digest", strconv.FormatUint(event.Digest, 16), "server", event.Server, "servers", event.Servers)
-}
-
 // recordCrash logs and counts the crash of a server.
 func (r *Router) recordCrash(server *servers.Server, cause error) {
 	r.metrics.crashes.Inc()
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -66,6 +66,8 @@
 	crashes       servers.CrashDetector
 	// pendingVerdicts holds the verdicts of this instance that are not in the store yet.
 	pendingVerdicts chan quarantine.VerdictReport
+	// pendingSuspects holds the digests of requests that this instance blocked and that are not in the store yet.
+	pendingSuspects chan uint64
 	counter         *usage.Counter
 	lease           *lease.Lease
 	callerListener  *listener.Listener
@@ -141,6 +143,7 @@
 		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
 	r.origins = r.newOrigins()
 	r.softwareChanged = make(chan struct{}, 1)
+	r.pendingSuspects = make(chan uint64, maxPendingSuspects)
 	r.suspects = forward.NewSuspectList(r.recordSuspect)
 	r.crashes.OnCrash = r.recordCrash
 	r.pendingVerdicts = make(chan quarantine.VerdictReport, maxPendingVerdicts)
--- a/internal/role/router/suspects_test.go
+++ b/internal/role/router/suspects_test.go
@@ -37,3 +37,29 @@
 	is.True(!strings.Contains(h.logs[2].String(), "event=loss_recorded"))
 	h.stop()
 }
+
+// TestBlockedRequestsOutliveAllRouters guards against requests that crash three more servers whenever all routers have been restarted.
+func TestBlockedRequestsOutliveAllRouters(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	h := startRouters(t, 2)
+	for _, id := range []ident.Endpoint{"i-2", "i-3", "i-4"} {
+		h.startServer(t, id)
+	}
+	blocked := `reason="request crashed servers before"`
+	eventually(t, "request blocked", func() bool {
+		h.send(0, "/p/vanish", "right")
+		return strings.Contains(h.logs[0].String(), blocked)
+	})
+	eventually(t, "request stored", func() bool { return len(h.store.Rows("suspects")) == 1 })
+	h.store.Put("suspects", "odd", []byte("[["))
+	h.store.Put("suspects", "7", []byte(`{"servers":["i-1","i-2","i-3"],"ends_unix_ms":1}`))
+	h.restartAll(t)
+	eventually(t, "losses known", func() bool { return strings.Count(h.logs[1].String(), "event=loss_received") >= 3 })
+	code, _ := h.send(1, "/p/vanish", "right")
+	is.Equal(code, http.StatusServiceUnavailable)
+	eventually(t, "refusal logged", func() bool { return strings.Contains(h.logs[1].String(), blocked) })
+	is.True(!strings.Contains(h.logs[1].String(), "event=loss_recorded"))
+	eventually(t, "ended row deleted", func() bool { return len(h.store.Rows("suspects")) == 2 })
+	h.stop()
+}
