--- a/soak/crashing_part_test.go
+++ b/soak/crashing_part_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"context"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -332,11 +331,7 @@
 func (e *environment) runCrashingPart() {
 	defer e.stopAll()
 	e.awaitReady("start")
-	ctx, cancel := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	for caller := range callerCount {
-		clients.Go(func() { e.sendRequests(ctx, caller) })
-	}
+	stopCallers := e.startCallers()
 	time.Sleep(warmUp)
 	quietFrom := time.Now()
 	time.Sleep(quietDuration)
@@ -350,8 +345,7 @@
 	e.heal()
 	e.awaitReady("recovery")
 	time.Sleep(time.Second)
-	cancel()
-	clients.Wait()
+	stopCallers()
 	e.part.mu.Lock()
 	e.part.quietFrom, e.part.crashingFrom, e.part.crashingUntil = quietFrom, crashingFrom, crashingUntil
 	e.part.mu.Unlock()
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -86,11 +85,7 @@
 func (e *environment) runRestarts() {
 	defer e.stopAll()
 	e.awaitReady("start")
-	ctx, cancel := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	for caller := range callerCount {
-		clients.Go(func() { e.sendRequests(ctx, caller) })
-	}
+	stopCallers := e.startCallers()
 	e.killed = true
 	for until := time.Now().Add(2 * *faultDuration); time.Now().Before(until); {
 		e.interruptSeveral()
@@ -100,8 +95,7 @@
 	e.heal()
 	e.awaitReady("recovery")
 	time.Sleep(time.Second)
-	cancel()
-	clients.Wait()
+	stopCallers()
 	e.checkExecutions()
 	e.checkRetryBudget()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,17 +97,12 @@
 func (e *environment) runSeed() {
 	defer e.stopAll()
 	e.awaitReady("start")
-	ctx, cancel := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	for caller := range callerCount {
-		clients.Go(func() { e.sendRequests(ctx, caller) })
-	}
+	stopCallers := e.startCallers()
 	e.injectFaults(time.Now().Add(*faultDuration))
 	e.heal()
 	e.awaitReady("recovery")
 	time.Sleep(time.Second)
-	cancel()
-	clients.Wait()
+	stopCallers()
 	e.checkExecutions()
 	e.checkAnnouncements()
 	e.checkUnframed()
@@ -262,6 +257,19 @@
 // kinds are the kinds of requests, which are also the first segments of their paths.
 var kinds = []string{"safe", "once", "flow", "again"}
 
+// startCallers starts the callers. stop ends them and waits for their last requests.
+func (e *environment) startCallers() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for caller := range callerCount {
+		callers.Go(func() { e.sendRequests(ctx, caller) })
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
+
 // sendRequests sends requests over persistent connections, one after another, until the context ends.
 func (e *environment) sendRequests(ctx context.Context, caller int) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1}
