--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -293,3 +293,10 @@
 	n, _ := conn.Read(buffer)
 	return strings.HasPrefix(string(buffer[:n]), "HTTP/1.1 200")
 }
+
+// PID returns the id of the router's process.
+func (r *Router) PID() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.process.Process.Pid
+}
