--- a/review/3/main.go
+++ b/review/3/main.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	routers = 2
+	routers = 3
 	// cutFor is how long the holder's machine is cut off.
 	cutFor = 5500 * time.Millisecond
 	// settle is the time before the cut: until the duty is held and a window was reported.
