Review: free ports, and routers end with their case however it ends

Routers are started by a thread that lives as long as the case, with a death signal, so that they end even if the case is killed; ports are free ones on loopback addresses that a case claims; no lock files in the shared temporary folder. The time limit moved from timeout(1) into the program (110 s), so that a signal to run.sh reaches it.

--- a/review/case.sh
+++ b/review/case.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Runs one case: case.sh NUMBER. Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
+# The program ends by itself after 110 s at the latest, and its routers with it, however it ends.
 set -uo pipefail
 cd "$(dirname "$0")/.." || exit 2
 number=$1
@@ -9,4 +10,4 @@
     exit 2
   fi
 done
-exec timeout --signal=TERM --kill-after=5 113 "target/review/case$number" "review/$number/record.txt"
+exec "target/review/case$number" "review/$number/record.txt"
--- a/review/testbed/cut.go
+++ b/review/testbed/cut.go
@@ -21,7 +21,7 @@
 // AddGate starts a gate to an address.
 func (b *Bed) AddGate(target string) (*Gate, error) {
 	var listen net.ListenConfig
-	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":8223")
+	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/testbed/engine.go
+++ b/review/testbed/engine.go
@@ -48,7 +48,7 @@
 	id     ident.Endpoint
 	events int
 	pause  time.Duration
-	server *platformtest.Server
+	server *crashServer
 	mu     sync.Mutex
 	// registration is what the engine writes to the store; guarded by mu.
 	registration platform.Server
@@ -65,11 +65,11 @@
 // AddEngine starts and registers an engine.
 func (b *Bed) AddEngine(config EngineConfig) (*Engine, error) {
 	e := &Engine{bed: b, id: config.ID, events: config.Events, pause: config.Pause}
-	server, err := platformtest.NewServer(http.HandlerFunc(e.serve))
+	server, err := newCrashServer(b.Host(), http.HandlerFunc(e.serve))
 	if err != nil {
 		return nil, err
 	}
-	b.onClose(server.Close)
+	b.onClose(server.crash)
 	e.server = server
 	e.begin(config.Software)
 	return e, nil
@@ -79,7 +79,7 @@
 func (e *Engine) begin(software ident.Software) {
 	e.mu.Lock()
 	e.registration = platform.Server{
-		ID: e.id, Service: Engines, Address: e.server.Address(), Domain: Zone, State: platform.ServerReady, Software: software,
+		ID: e.id, Service: Engines, Address: e.server.address, Domain: Zone, State: platform.ServerReady, Software: software,
 		Slots: engineSlots, StartedUnixMS: time.Now().UnixMilli(),
 	}
 	registration := e.registration
@@ -89,7 +89,7 @@
 
 // Crash ends the engine's process: its connections are reset, and new ones are refused.
 func (e *Engine) Crash() {
-	e.server.Crash(true)
+	e.server.crash()
 	e.bed.Record("%s crashes", e.id)
 }
 
@@ -98,7 +98,7 @@
 	e.mu.Lock()
 	e.registration.Software = software
 	e.mu.Unlock()
-	if err := e.server.Start(); err != nil {
+	if err := e.server.start(); err != nil {
 		return err
 	}
 	e.begin(software)
--- a/review/testbed/link.go
+++ b/review/testbed/link.go
@@ -23,7 +23,7 @@
 // AddLink starts a link to an address.
 func (b *Bed) AddLink(target string) (*Link, error) {
 	var listen net.ListenConfig
-	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":8227")
+	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/testbed/main.go
+++ b/review/testbed/main.go
@@ -18,7 +18,10 @@
 )
 
 // maxRun is how long a case may run.
-const maxRun = 110 * time.Second
+const maxRun = 100 * time.Second
+
+// maxClose is how long a case may take to end its stand-ins after that. The routers end with the case in any way.
+const maxClose = 10 * time.Second
 
 // errInterrupted is returned if a case was ended by a signal or ran too long.
 var errInterrupted = errors.New("the case was interrupted, or ran for longer than " + maxRun.String())
@@ -39,6 +42,7 @@
 		_, _ = fmt.Fprintln(out, "cannot run:", err)
 		return exitCannotRun
 	}
+	time.AfterFunc(maxRun+maxClose, func() { os.Exit(exitCannotRun) })
 	defer bed.Close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	bed.Record("disruption: %t", trouble)
@@ -67,13 +71,13 @@
 		violations []string
 		err        error
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	results := make(chan result, 1)
 	go func() {
 		violations, err := run()
 		results <- result{violations, err}
 	}()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case r := <-results:
 		return r.violations, r.err
--- a/review/testbed/partition.go
+++ b/review/testbed/partition.go
@@ -30,7 +30,7 @@
 // AddPartition starts a way to an address.
 func (b *Bed) AddPartition(target string) (*Partition, error) {
 	var listen net.ListenConfig
-	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":8223")
+	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/testbed/server.go
+++ b/review/testbed/server.go
@@ -85,7 +85,7 @@
 		}
 	}
 	var listen net.ListenConfig
-	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":8080")
+	listener, err := listen.Listen(b.ctx, "tcp", b.Host()+":0")
 	if err != nil {
 		return err
 	}
--- a/review/testbed/testbed.go
+++ b/review/testbed/testbed.go
@@ -40,9 +40,9 @@
 Zone=sk-central-a
 Region=sk-central
 Zones.sk-central-a=sk-central
-Listen.Front=%[2]s:8227
-Listen.Ready=%[2]s:8220
-InternalPorts=7340,7355
+Listen.Front=%[2]s:%[6]d
+Listen.Ready=%[2]s:%[7]d
+InternalPorts=%[8]d,%[8]d
 Bootstrap=%[5]t
 Limits.CpuShare=0.304
 Limits.CpuCores=1
@@ -114,6 +114,10 @@
 	// ctx ends when the deployment is closed.
 	ctx    context.Context //nolint:containedctx // The deployment has the lifetime of the process.
 	cancel context.CancelFunc
+	// closed is set by Close and never cleared: no process is started any more. Guarded by mu.
+	closed bool
+	// ports are the same on all machines.
+	ports ports
 	// hosts is the number of loopback addresses that were given out; guarded by mu.
 	hosts int
 }
@@ -128,19 +132,38 @@
 	if err != nil {
 		return nil, err
 	}
+	network, claim, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	free, err := freePorts(network + claimedHost)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Bed{
+	b := &Bed{
 		ctx: ctx, cancel: cancel, Store: platformtest.NewStore(), Duties: platformtest.NewDuties(), folder: folder, record: record, started: time.Now(),
-		network: fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, 1+os.Getpid()/200%250),
-	}, nil
+		network: network, ports: free,
+	}
+	b.onClose(func() { _ = claim.Close() })
+	return b, nil
+}
+
+// isClosed reports whether Close was called.
+func (b *Bed) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
 }
 
 // Close ends all processes and stand-ins.
 func (b *Bed) Close() {
-	for _, router := range b.routers {
-		router.Signal(syscall.SIGCONT)
-		router.Signal(syscall.SIGKILL)
-		<-router.Done()
+	b.mu.Lock()
+	b.closed = true
+	routers := b.routers
+	b.mu.Unlock()
+	for _, router := range routers {
+		router.end()
 	}
 	b.cancel()
 	b.mu.Lock()
@@ -207,12 +230,17 @@
 	host := b.Host()
 	name := "front-sk-central-a-" + strconv.Itoa(len(b.routers)+1)
 	settings := filepath.Join(b.folder, name+".conf")
-	content := fmt.Sprintf(settingsTemplate, name, host, storeAddress, dutiesAddress, true)
+	content := fmt.Sprintf(settingsTemplate, name, host, storeAddress, dutiesAddress, true, b.ports.callers, b.ports.ready, b.ports.peers)
 	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
 		return nil, err
 	}
-	r := &Router{bed: b, Name: name, Callers: host + ":8227", Ready: host + ":8220", settings: settings}
+	r := &Router{
+		bed: b, Name: name, settings: settings,
+		Callers: net.JoinHostPort(host, strconv.Itoa(b.ports.callers)), Ready: net.JoinHostPort(host, strconv.Itoa(b.ports.ready)),
+	}
+	b.mu.Lock()
 	b.routers = append(b.routers, r)
+	b.mu.Unlock()
 	return r, r.Start()
 }
 
@@ -230,7 +258,10 @@
 		defer func() { _ = log.Close() }()
 		process.Stdout, process.Stderr = log, log
 	}
-	if err := process.Start(); err != nil {
+	if r.bed.isClosed() {
+		return errClosed
+	}
+	if err := startProcess(process); err != nil {
 		return err
 	}
 	r.bed.Record("%s: process started", r.Name)
@@ -253,11 +284,15 @@
 	}
 }
 
-// Done is closed when the process has ended.
-func (r *Router) Done() <-chan struct{} {
+// end kills the router's process and waits for its end.
+func (r *Router) end() {
+	r.Signal(syscall.SIGKILL)
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.done
+	done := r.done
+	r.mu.Unlock()
+	if done != nil {
+		<-done
+	}
 }
 
 // dial opens a connection within the second that clients allow.
@@ -293,10 +328,3 @@
 	n, _ := conn.Read(buffer)
 	return strings.HasPrefix(string(buffer[:n]), "HTTP/1.1 200")
 }
-
-// PID returns the id of the router's process.
-func (r *Router) PID() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.process.Process.Pid
-}
