A server's status states "not run" only if the server says so (REFUSED)

Cause: whether a status may state "not run" was decided for the router's own responses only. Evidence: each 503 in the case's record bears the server's signature and follows the server's note that the request ran.

Change: outcome.Outcome.Status decides for every end of a request, at the router and at the entry. A 408, 421, 429 or 503 without proof becomes 502, on the router's path without the signature and Retry-After, with the server's body.

Found beside it at the entry: a request whose response was interrupted, and that no endpoint took again, was refused with not_run true.

--- a/internal/process/outcome/outcome.go
+++ b/internal/process/outcome/outcome.go
@@ -1,6 +1,8 @@
 // Package outcome defines what is known about the execution of a request.
 package outcome
 
+import "net/http"
+
 // Outcome is what is known about the execution of a request.
 type Outcome int
 
@@ -33,3 +35,15 @@
 	}
 	return Unknown
 }
+
+// Status returns the status with which a response to a request may end, given the one that it would have. 408, 421, 429 and 503 state that the request
+// did not run and never will, so they become 502 unless that is certain.
+func (o Outcome) Status(status int) int {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if o != NotRun {
+			return http.StatusBadGateway
+		}
+	}
+	return status
+}
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -148,13 +148,13 @@
 	var last *refusal.Error
 	for len(call.Tried) < maxAttempts {
 		if refused := call.Recheck(); refused != nil {
-			last = finalFailure(last, refused)
+			last = FinalFailure(last, refused)
 			break
 		}
 		open := copyOpen(call.Open)
 		releaseSuspect, refused := d.admitSuspect(open)
 		if refused != nil {
-			last = finalFailure(last, refused)
+			last = FinalFailure(last, refused)
 			break
 		}
 		chosen := d.balancers.pool(call.Pool).pick(call)
@@ -171,7 +171,7 @@
 		if !failure.NotRun {
 			call.MayHaveRun[chosen.attempt.Endpoint] = true
 		}
-		last = finalFailure(last, failure)
+		last = FinalFailure(last, failure)
 		if !d.mayRetry(ctx, call, failure) {
 			break
 		}
@@ -183,10 +183,10 @@
 		http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint takes this request now", noEndpointRetryAfter)
 }
 
-// finalFailure returns which of two failures to report: the later one, unless the request may have run in the earlier one. Then
+// FinalFailure returns which of two failures to report: the later one, unless the request may have run in the earlier one. Then
 // it is the earlier one, or, if the later one refuses the request because it crashed endpoints, a copy of the later one that does
 // not state that the request did not run.
-func finalFailure(earlier, later *refusal.Error) *refusal.Error {
+func FinalFailure(earlier, later *refusal.Error) *refusal.Error {
 	if earlier == nil || earlier.NotRun {
 		return later
 	}
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/placement"
 	"vanillapond/platform"
 )
@@ -30,6 +31,9 @@
 // reasonQuarantined is the reason of requests with a prompt part that crashes servers.
 const reasonQuarantined = "a part of the prompt crashed servers before"
 
+// reasonUnprovenRefusal is the reason of responses whose status is not relayed: without another header, the server may have run the request.
+const reasonUnprovenRefusal = "server's status alone says that the request did not run"
+
 // refusal is an error response that the router itself returns; it ends the request.
 type refusal struct {
 	status int
@@ -85,6 +89,18 @@
 
 func deny(status int, reason string) *refusal { return &refusal{status: status, reason: reason} }
 
+// outcome returns what is known about the execution of the request.
+func (c *call) outcome() outcome.Outcome { return outcome.FromNotRun(!c.mayHaveRun) }
+
+// relayedStatus returns the status under which a server's response is relayed. Callers repeat a request that may run twice after any failure, so it
+// keeps the server's status, and with it the server's signature.
+func (c *call) relayedStatus(status int) int {
+	if c.mayRunTwice() {
+		return status
+	}
+	return c.outcome().Status(status)
+}
+
 // refuse ends the request with an error response, or without one if a response has begun or the caller has disconnected.
 func (c *call) refuse(refused *refusal) {
 	c.record.Reason = refused.reason
@@ -99,9 +115,8 @@
 		c.record.Outcome = outcomeCallerLeft
 		return
 	}
-	if refused.status == http.StatusServiceUnavailable && c.mayHaveRun {
-		// Status 503 promises that the request did not run, and here a server may have run it.
-		refused.status, refused.retryAfter = http.StatusBadGateway, 0
+	if status := c.outcome().Status(refused.status); status != refused.status {
+		refused.status, refused.retryAfter = status, 0
 	}
 	switch {
 	case refused.status == http.StatusServiceUnavailable:
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -83,7 +83,11 @@
 		c.budget().Remaining(c.forwarder.config.Now()) >= 1 {
 		return failedByServer, placement.ServerFailed
 	}
-	result := c.relayBody(response, server, body, outcomeServerFailure, "server answered with a failure")
+	reason := "server answered with a failure"
+	if c.relayedStatus(response.Status) != response.Status {
+		reason = reasonUnprovenRefusal
+	}
+	result := c.relayBody(response, server, body, outcomeServerFailure, reason)
 	if response.Status >= http.StatusInternalServerError && result != placement.Failed {
 		result = placement.ServerFailed
 	}
@@ -140,6 +144,12 @@
 	header := c.writer.Header()
 	upstream := response.Header
 	platform.RemoveHopByHopHeaders(upstream)
+	status := c.relayedStatus(response.Status)
+	if status != response.Status {
+		// The signature is that of a response with the server's status, and the time to retry that of a request that did not run.
+		upstream.Del(platform.HeaderSignature)
+		upstream.Del("Retry-After")
+	}
 	if c.request.Method == http.MethodHead {
 		// The length is that of the body that a GET request would get.
 		length = -1
@@ -152,8 +162,8 @@
 	if length >= 0 && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
-	c.record.Status = response.Status
-	c.writer.WriteHeader(response.Status)
+	c.record.Status = status
+	c.writer.WriteHeader(status)
 }
 
 func (c *call) write(content []byte) {
--- a/internal/request/gateway/abort_test.go
+++ b/internal/request/gateway/abort_test.go
@@ -34,15 +34,21 @@
 	_ = stream.Deny(link.Deny{Code: link.DenyFailed, Load: link.Load{Capacity: 1}})
 }
 
-// serveInterrupted starts an entry with one sidecar and returns its address.
+// serveInterrupted starts an entry with one sidecar that interrupts a stream, and returns its address.
 func serveInterrupted(t *testing.T, body string) string {
+	t.Helper()
+	return serveSidecar(t, interruptedHandler{body: body}, false)
+}
+
+// serveSidecar starts an entry with one sidecar, and returns its address. The requests of its only class may run twice if it is idempotent.
+func serveSidecar(t *testing.T, handler link.Handler, idempotent bool) string {
 	t.Helper()
 	hello := func() link.Hello {
 		return link.Hello{
 			MinVersion: link.VersionMin, MaxVersion: link.VersionMax, Process: "p", Incarnation: "i", Load: link.Load{Capacity: 1},
 		}
 	}
-	sidecar := httptest.NewServer(link.NewServer(link.ServerConfig{Hello: hello, Handler: interruptedHandler{body: body}}))
+	sidecar := httptest.NewServer(link.NewServer(link.ServerConfig{Hello: hello, Handler: handler}))
 	t.Cleanup(sidecar.Close)
 	events, suspects := event.New(event.Config{Capacity: 16}), suspect.NewRegistry()
 	endpoints := fleet.New(fleet.Config{Hello: hello(), Events: events, Suspects: suspects, Scheme: "ws"})
@@ -52,7 +58,7 @@
 		Version:   1,
 		Customers: []configuration.Customer{{ID: "school", Weight: 1}},
 		Classes: []configuration.Class{
-			{ID: "plain", Pool: "pond", FirstTokenMS: 60000, DeadlineMS: 60000, Routes: []string{"/service/"}},
+			{ID: "plain", Pool: "pond", FirstTokenMS: 60000, DeadlineMS: 60000, Routes: []string{"/service/"}, Idempotent: idempotent},
 		},
 		Pools:     []configuration.Pool{{ID: "pond", Kind: configuration.KindService}},
 		Keys:      []configuration.Key{{Digest: ident.DigestKey("key"), Customer: "school", Classes: []ident.Class{"plain"}}},
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -207,8 +207,13 @@
 	if failure := g.checkFreshness(); failure != nil {
 		return failure
 	}
+	var last *refusal.Error
 	for {
 		failure, retryable := g.sendOnce(ctx, exchange, call)
+		if failure != nil {
+			failure = dispatch.FinalFailure(last, failure)
+			last = failure
+		}
 		if failure == nil || !retryable || ctx.Err() != nil || g.checkFreshness() != nil || !g.config.Dispatcher.TakeRetry(call) {
 			return failure
 		}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/process/ledger"
+	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/claim"
 	"vanillapond/internal/request/dispatch"
 	"vanillapond/internal/request/refusal"
@@ -34,6 +36,7 @@
 
 // run relays the response until its end; it returns a refusal only if nothing was written to the caller yet.
 func (r *relay) run(ctx context.Context) *refusal.Error {
+	r.replaceUnprovenRefusal()
 	for {
 		frame, err := r.response.Next(ctx)
 		if err != nil {
@@ -53,6 +56,18 @@
 	}
 }
 
+// replaceUnprovenRefusal replaces the status of a response that states that the request did not run: an endpoint that knows this denies the request
+// instead. Callers repeat a request of an idempotent class after any failure, so it keeps the status.
+func (r *relay) replaceUnprovenRefusal() {
+	head := r.response.Head
+	status := outcome.Unknown.Status(head.Status)
+	if r.exchange.class.Idempotent || status == head.Status {
+		return
+	}
+	header := slices.DeleteFunc(slices.Clone(head.Header), func(field link.Header) bool { return strings.EqualFold(field.Name, api.HeaderRetryAfter) })
+	r.response.Head = &link.Head{Stream: head.Stream, Status: status, Header: header}
+}
+
 func (r *relay) isEventStream() bool {
 	for _, field := range r.response.Head.Header {
 		if field.Name == "Content-Type" {
