--- a/internal/connection/platformclient/platformclient.go
+++ b/internal/connection/platformclient/platformclient.go
@@ -12,6 +12,8 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/bounded"
+	"vanillapond/internal/connection/socket"
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/platform"
 	"vanillapond/internal/process/table"
 	"vanillapond/pkg/ident"
@@ -49,8 +51,10 @@
 	if config.MaxResponseSize == 0 {
 		config.MaxResponseSize = DefaultMaxResponseSize
 	}
+	const idleConnections = 16
+	transport := &http.Transport{DialContext: socket.DialReset, MaxIdleConnsPerHost: idleConnections}
 	return &Client{
-		base: config.Base, process: config.Process, http: &http.Client{Timeout: config.Timeout}, maxResponseSize: config.MaxResponseSize,
+		base: config.Base, process: config.Process, http: &http.Client{Timeout: config.Timeout, Transport: transport}, maxResponseSize: config.MaxResponseSize,
 	}
 }
 
@@ -80,26 +84,33 @@
 	return c.post(ctx, platform.PathTableCommit, transaction, nil)
 }
 
-// Send implements platform.Orders. Each order uses its own connection, whose writes consult the gate: if the gate
-// stopped the first write, the order is known to have had no effect.
+// Send implements platform.Orders.
 func (c *Client) Send(ctx context.Context, order platform.Order, gate platform.Gate) error {
-	dialer := &gatedDialer{gate: gate}
-	transport := &http.Transport{DialContext: dialer.dial, DisableKeepAlives: true}
+	return c.postGated(ctx, platform.PathOrders, order, gate)
+}
+
+// Report implements platform.Reports.
+func (c *Client) Report(ctx context.Context, report platform.Report, gate platform.Gate) error {
+	return c.postGated(ctx, platform.PathReports, report, gate)
+}
+
+// postGated makes a call on a connection of its own, whose writes consult the gate: if the gate stopped the first write, the call is known to have had
+// no effect.
+func (c *Client) postGated(ctx context.Context, path string, request any, gate platform.Gate) error {
+	connection := &socket.Call{Gate: gate, UnackedTimeout: c.http.Timeout}
+	transport := &http.Transport{DialContext: connection.Dial, DisableKeepAlives: true}
 	client := &Client{
 		base: c.base, process: c.process, http: &http.Client{Timeout: c.http.Timeout, Transport: transport}, maxResponseSize: c.maxResponseSize,
 	}
-	err := client.post(ctx, platform.PathOrders, order, nil)
-	if errors.Is(err, table.ErrOutcomeUnknown) && !dialer.written.Load() {
-		return oops.Wrapf(table.ErrRefused, "order %s: %v", order.ID, err)
+	ctx, cancel := clock.WithTimeout(ctx, clock.Boot, c.http.Timeout)
+	defer cancel()
+	err := client.post(ctx, path, request, nil)
+	if errors.Is(err, table.ErrOutcomeUnknown) && !connection.Written() {
+		return oops.Wrapf(table.ErrRefused, "%v", err)
 	}
 	return err
 }
 
-// Report sends a usage report to the platform.
-func (c *Client) Report(ctx context.Context, report platform.Report) error {
-	return c.post(ctx, platform.PathReports, report, nil)
-}
-
 // VMs returns the platform's list of VMs, which lags behind the actual state.
 func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
 	var result platform.VMsResponse
--- a/internal/connection/platformclient/truncated_test.go
+++ b/internal/connection/platformclient/truncated_test.go
@@ -53,7 +53,7 @@
 			})
 			is.True(errors.Is(client.Commit(t.Context(), table.Transaction{}), table.ErrOutcomeUnknown))
 			is.True(errors.Is(client.Send(t.Context(), platform.Order{ID: "d1.1"}, func() error { return nil }), table.ErrOutcomeUnknown))
-			is.True(errors.Is(client.Report(t.Context(), platform.Report{}), table.ErrOutcomeUnknown))
+			is.True(errors.Is(client.Report(t.Context(), platform.Report{}, func() error { return nil }), table.ErrOutcomeUnknown))
 			_, err := client.Scan(t.Context(), "a", "", 1)
 			is.True(errors.Is(err, table.ErrRefused))
 			_, err = client.VMs(t.Context())
--- a/internal/connection/socket/socket.go
+++ b/internal/connection/socket/socket.go
@@ -27,6 +27,24 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// DialReset is like Dial, but closing the connection resets it. The kernel then discards the bytes that it has not sent yet, which it would otherwise
+// go on sending for as long as the link is down.
+func DialReset(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialReset(ctx, network, address, UnackedTimeout)
+}
+
+func dialReset(ctx context.Context, network, address string, unackedTimeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
+		return setOptions(raw, func(descriptor int) error {
+			if err := unix.SetsockoptLinger(descriptor, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0}); err != nil {
+				return err
+			}
+			return setUnackedTimeout(descriptor, unackedTimeout)
+		})
+	}}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // Listen opens a listener whose connections fail if the peer stops responding.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
@@ -34,10 +52,17 @@
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setOptions(raw, func(descriptor int) error { return setUnackedTimeout(descriptor, UnackedTimeout) })
+}
+
+func setUnackedTimeout(descriptor int, timeout time.Duration) error {
+	return unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
+
+// setOptions calls set with the descriptor of a socket.
+func setOptions(raw syscall.RawConn, set func(descriptor int) error) error {
 	var optionErr error
-	if err := raw.Control(func(descriptor uintptr) {
-		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
-	}); err != nil {
+	if err := raw.Control(func(descriptor uintptr) { optionErr = set(int(descriptor)) }); err != nil {
 		return err
 	}
 	return optionErr
--- a/internal/process/billing/closer.go
+++ b/internal/process/billing/closer.go
@@ -30,6 +30,9 @@
 	Fence() (ident.Fence, table.Check, bool)
 }
 
+// errLeaseLost is why a report is not sent.
+var errLeaseLost = errors.New("billing: the lease on reporting is not held any more")
+
 // lateThreshold is the duration after the end of a window's grace period beyond which a report counts as late.
 const lateThreshold = 5 * time.Minute
 
@@ -298,7 +301,7 @@
 		return err
 	}
 	c.phase = phaseReport
-	if err := c.config.Reports.Report(ctx, report); err != nil {
+	if err := c.config.Reports.Report(ctx, report, c.checkLease); err != nil {
 		c.inFlight = c.inFlight || errors.Is(err, table.ErrOutcomeUnknown)
 		return err
 	}
@@ -313,6 +316,14 @@
 	return nil
 }
 
+// checkLease returns an error unless the lease is still held with the fencing number of the report.
+func (c *Closer) checkLease() error {
+	if fence, _, held := c.config.Lease.Fence(); !held || fence != c.fence {
+		return errLeaseLost
+	}
+	return nil
+}
+
 // sinceGracePeriod returns the time since the end of a window's grace period.
 func (c *Closer) sinceGracePeriod(window ident.Window) time.Duration {
 	end := time.Unix(int64(window)+c.config.WindowLength(), 0).Add(c.config.GracePeriod)
--- a/internal/process/billing/late_test.go
+++ b/internal/process/billing/late_test.go
@@ -23,7 +23,7 @@
 // reportCounter counts reports.
 type reportCounter struct{ count int }
 
-func (c *reportCounter) Report(context.Context, platform.Report) error {
+func (c *reportCounter) Report(context.Context, platform.Report, platform.Gate) error {
 	c.count++
 	return nil
 }
--- a/internal/process/billing/model_test.go
+++ b/internal/process/billing/model_test.go
@@ -143,7 +143,7 @@
 }
 
 // Report implements platform.Reports.
-func (m *model) Report(_ context.Context, report platform.Report) error {
+func (m *model) Report(_ context.Context, report platform.Report, gate platform.Gate) error {
 	fault := 0
 	if m.script.reportFaults > 0 {
 		fault = m.chooser.Choose(3)
@@ -151,7 +151,7 @@
 	if fault > 0 {
 		m.script.reportFaults--
 	}
-	if fault == 1 {
+	if fault == 1 || gate() != nil {
 		return table.ErrRefused
 	}
 	m.recordReport(sentReport{report: report, leaseFence: m.fence})
--- a/internal/process/peers/peers.go
+++ b/internal/process/peers/peers.go
@@ -268,12 +268,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ignoreLateWrites(rows)
 	r.estimator.observeStore(now, now.Sub(start)/2, batch.ServiceTime, wall)
 	r.applyRows(now, rows, revisions)
 	r.fleetKnown = r.fleetKnown || written
 	return rows, nil
 }
 
+// ignoreLateWrites replaces rows by later ones of the same instances that were read before: a write that an instance had given up may replace a later
+// one. The caller holds mu.
+func (r *Registry) ignoreLateWrites(rows map[table.Key]Row) {
+	for key, row := range rows {
+		if last, found := r.observed[key]; found && last.row.Sequence > row.Sequence {
+			rows[key] = last.row
+		}
+	}
+}
+
 // applyRows updates peers and the agreed time from the rows just read; the caller holds mu.
 func (r *Registry) applyRows(now clock.Reading, rows map[table.Key]Row, revisions map[table.Key]table.Revision) {
 	for key := range r.observed {
@@ -308,6 +319,20 @@
 	r.estimator.updateMedian(offsets)
 }
 
+// Remove removes the rows of instances that have ended, as they were last read; if there are many, some of them.
+func (r *Registry) Remove(ctx context.Context, keys []table.Key) error {
+	if len(keys) == 0 {
+		return nil
+	}
+	rows := make([]table.Row, len(keys))
+	r.mu.Lock()
+	for index, key := range keys {
+		rows[index] = table.Row{Key: key, Revision: r.observed[key].revision}
+	}
+	r.mu.Unlock()
+	return r.config.Table.Commit(ctx, table.Removal(rows))
+}
+
 // UnchangedFor returns for how long this process has seen the row unchanged; 0 if it has not seen the row.
 func (r *Registry) UnchangedFor(key table.Key) time.Duration {
 	r.mu.Lock()
--- a/internal/process/platform/platform.go
+++ b/internal/process/platform/platform.go
@@ -108,7 +108,7 @@
 // Reports is the platform's service that receives usage reports.
 type Reports interface {
 	// Report sends a usage report to the platform; its errors are table.ErrRefused and table.ErrOutcomeUnknown.
-	Report(ctx context.Context, report Report) error
+	Report(ctx context.Context, report Report, gate Gate) error
 }
 
 // VMs is the platform's service that lists the VMs.
--- a/internal/process/usage/model_test.go
+++ b/internal/process/usage/model_test.go
@@ -112,16 +112,14 @@
 }
 
 // Send implements ReportSender.
-func (c reporterClient) Send(
-	ctx context.Context, _ ident.Fence, window Window, counts map[ident.Customer]int64, _ time.Duration,
-) error {
+func (c reporterClient) Send(ctx context.Context, report Report) error {
 	c.interrupt(ctx, c.index)
 	fault := c.chooser.ChooseFault(&c.script.reportFaults, 2)
 	if fault == 1 {
 		return table.ErrRefused
 	}
-	if window == modelWindow {
-		c.sent = append(c.sent, counts[modelCustomer])
+	if report.Window == modelWindow {
+		c.sent = append(c.sent, report.Counts[modelCustomer])
 	}
 	if fault == 2 {
 		return table.ErrOutcomeUnknown
--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -91,10 +91,22 @@
 	Term() time.Duration
 }
 
-// ReportSender sends the counts of windows to the platform.
+// Report is the report of one window.
+type Report struct {
+	Window Window
+	Counts map[ident.Customer]int64
+	// Fence is the fencing number of the lease under which the report is sent.
+	Fence ident.Fence
+	// Timeout bounds how long sending takes; the lease lasts longer.
+	Timeout time.Duration
+	// Confirm returns an error once the lease may end within Timeout. It is called immediately before anything is sent.
+	Confirm func() error
+}
+
+// ReportSender sends reports to the platform.
 type ReportSender interface {
-	// Send sends the counts of a window; sending the same counts again has no further effect.
-	Send(ctx context.Context, fence ident.Fence, window Window, counts map[ident.Customer]int64, timeout time.Duration) error
+	// Send sends a report; sending the same counts again has no further effect. A report that is given up must not be sent later.
+	Send(ctx context.Context, report Report) error
 }
 
 // ReporterConfig holds the dependencies and settings of a Reporter.
@@ -128,6 +140,8 @@
 	unsafeUntil time.Time
 	// frozen holds the counts of the last windows that this process froze or read as frozen.
 	frozen map[Window]map[ident.Customer]int64
+	// unknownAt is the reading of the lease's clock at the end of the last report whose outcome is unknown, 0 if there was none.
+	unknownAt atomic.Int64
 	// unreported is the number of windows that were due and not sent at the last check.
 	unreported atomic.Int64
 }
@@ -210,10 +224,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.config.Lease.Check(r.config.Lease.Now(), r.timeout()); err != nil {
-		return err
-	}
-	if err := r.config.Sender.Send(ctx, grant.Fence, window, counts, r.timeout()); err != nil {
+	if err := r.send(ctx, grant, window, counts); err != nil {
 		return oops.Wrapf(err, "window %d", window)
 	}
 	r.config.Log("usage_reported", "window", window, "fence", grant.Fence, "customers", len(counts),
@@ -222,6 +233,32 @@
 	return nil
 }
 
+// send sends the counts of a window while the lease is held.
+func (r *Reporter) send(ctx context.Context, grant lease.Grant, window Window, counts map[ident.Customer]int64) error {
+	confirm := func() error {
+		current, err := r.config.Lease.Check(r.config.Lease.Now(), r.timeout())
+		if err == nil && current.Fence != grant.Fence {
+			err = lease.ErrNotHeld
+		}
+		return err
+	}
+	if err := confirm(); err != nil {
+		return err
+	}
+	err := r.config.Sender.Send(ctx, Report{Window: window, Counts: counts, Fence: grant.Fence, Timeout: r.timeout(), Confirm: confirm})
+	if errors.Is(err, table.ErrOutcomeUnknown) {
+		r.unknownAt.Store(int64(r.config.Lease.Now()))
+	}
+	return err
+}
+
+// MayBeInFlight reports whether a report whose outcome is unknown may still reach the platform before the lease under which it was sent ends, so that
+// the lease must not be released.
+func (r *Reporter) MayBeInFlight() bool {
+	unknownAt := clock.Reading(r.unknownAt.Load())
+	return unknownAt != 0 && r.config.Lease.Now().Sub(unknownAt) < r.config.Lease.Term()
+}
+
 // resume returns the last window that a new lease holder need not report.
 //
 // The previous holder may have left its most recent windows unreported. Older windows are skipped because their reports would
--- a/internal/process/usage/usage_test.go
+++ b/internal/process/usage/usage_test.go
@@ -20,7 +20,10 @@
 )
 
 // fakeLease is a stub lease that is held while fence is above 0.
-type fakeLease struct{ fence ident.Fence }
+type fakeLease struct {
+	fence ident.Fence
+	now   clock.Reading
+}
 
 func (l *fakeLease) Check(clock.Reading, time.Duration) (lease.Grant, error) {
 	if l.fence == 0 {
@@ -33,7 +36,7 @@
 	return table.Check{Key: "lease/x"}, nil
 }
 func (l *fakeLease) Term() time.Duration { return time.Second }
-func (l *fakeLease) Now() clock.Reading  { return 0 }
+func (l *fakeLease) Now() clock.Reading  { return l.now }
 
 // sentReport is one report as the platform received it.
 type sentReport struct {
@@ -46,10 +49,18 @@
 type fakePlatform struct {
 	reports       []sentReport
 	lostResponses int
+	// beforeSend is called before a report is confirmed; nil is not called.
+	beforeSend func()
 }
 
-func (p *fakePlatform) Send(_ context.Context, fence ident.Fence, window usage.Window, counts map[ident.Customer]int64, _ time.Duration) error {
-	p.reports = append(p.reports, sentReport{fence, window, counts["c"]})
+func (p *fakePlatform) Send(_ context.Context, report usage.Report) error {
+	if p.beforeSend != nil {
+		p.beforeSend()
+	}
+	if err := report.Confirm(); err != nil {
+		return table.ErrRefused
+	}
+	p.reports = append(p.reports, sentReport{report.Fence, report.Window, report.Counts["c"]})
 	if len(p.reports) <= p.lostResponses {
 		return table.ErrOutcomeUnknown
 	}
@@ -206,3 +217,43 @@
 	now = now.Add(20 * windowLength)
 	is.Equal(len(counter.Counts()), 0)
 }
+
+// TestReportAfterLeaseChanged guards against a report of an earlier holder: the lease is lost, or lost and acquired again, after the counts were frozen
+// and before the report is sent.
+func TestReportAfterLeaseChanged(t *testing.T) {
+	t.Parallel()
+	for name, fence := range map[string]ident.Fence{"lost": 0, "acquired again": 9} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			platform := &fakePlatform{}
+			end := window.End(windowLength)
+			h := newHarness(table.NewMemory(), platform, end.Add(1500*time.Millisecond), 7)
+			h.instances = []usage.InstanceCounts{instanceCounts(5, end)}
+			platform.beforeSend = func() { h.lease.fence = fence }
+			for range 3 {
+				_ = h.Step(t.Context())
+			}
+			for _, report := range platform.reports {
+				is.Equal(report.fence, fence)
+			}
+		})
+	}
+}
+
+// TestReportInFlight guards against a lease that is released while a report with an unknown outcome may still arrive, after one of the next holder.
+func TestReportInFlight(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	platform := &fakePlatform{lostResponses: 1}
+	end := window.End(windowLength)
+	h := newHarness(table.NewMemory(), platform, end.Add(1500*time.Millisecond), 7)
+	h.lease.now = clock.Reading(time.Hour)
+	is.True(!h.MayBeInFlight())
+	is.True(h.Step(t.Context()) != nil)
+	is.True(h.MayBeInFlight())
+	is.NoErr(h.Step(t.Context()))
+	is.True(h.MayBeInFlight())
+	h.lease.now = h.lease.now.Add(h.lease.Term())
+	is.True(!h.MayBeInFlight())
+}
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -292,16 +292,6 @@
 	})
 }
 
-// usageReportSender sends the counts of finished usage windows to the platform.
-type usageReportSender struct{ duties *platform.Duties }
-
-// Send implements usage.ReportSender.
-func (r usageReportSender) Send(ctx context.Context, fence ident.Fence, window usage.Window, counts map[ident.Customer]int64,
-	timeout time.Duration,
-) error {
-	return r.duties.ReportUsage(ctx, fence, platform.UsageReport{Window: int64(window), Started: counts}, timeout)
-}
-
 // notReadyReason returns why the instance does not accept new connections; an empty string if it does.
 func (r *Router) notReadyReason() string {
 	switch {
--- a/internal/role/router/peer_usage.go
+++ b/internal/role/router/peer_usage.go
@@ -67,20 +67,18 @@
 	retention := usage.RetentionPeriod(r.settings.Bounds.UsageWindow)
 	r.peerUsage.evict(r.peers.AgreedTime().Add(-retention))
 	counts := make([]usage.InstanceCounts, 0, len(rows))
-	var removals []table.Write
+	var ended []table.Key
 	for key, row := range rows {
 		if key == r.peers.Key() {
 			// This instance's counts in memory are newer than its row.
 			row.Usage, row.UsageUntilMS = r.counter.Counts(), r.peers.AgreedTime().UnixMilli()
 		} else if r.peers.UnchangedFor(key) > retention {
-			removals = append(removals, table.Write{Key: key, Delete: true})
+			ended = append(ended, key)
 		}
 		counts = append(counts, r.peerUsage.combine(row))
 	}
-	if len(removals) > 0 {
-		if err := r.store.Commit(ctx, table.Transaction{Writes: removals}); err != nil {
-			r.journal.Log("ended_entries_not_removed", "entries", len(removals), "err", err)
-		}
+	if err := r.peers.Remove(ctx, ended); err != nil {
+		r.journal.Log("ended_entries_not_removed", "entries", len(ended), "err", err)
 	}
 	return counts, nil
 }
--- a/internal/role/router/quarantine.go
+++ b/internal/role/router/quarantine.go
@@ -118,7 +118,7 @@
 
 // applyVerdicts applies verdicts from the store, and deletes rows that have ended from a complete list.
 func (r *Router) applyVerdicts(update follow.Update) {
-	now, ended := time.Now(), []table.Write(nil)
+	now, ended := time.Now(), []table.Row(nil)
 	for _, change := range update.Changes {
 		if change.Deleted {
 			continue
@@ -131,7 +131,7 @@
 		remaining := time.Duration(row.EndsUnixMS-r.peers.AgreedTime().UnixMilli()) * time.Millisecond
 		if remaining <= 0 {
 			if update.Snapshot {
-				ended = append(ended, table.Write{Key: change.Key, Delete: true})
+				ended = append(ended, change.Row)
 			}
 			continue
 		}
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	if err := r.store.Commit(ctx, table.Transaction{Writes: ended[:min(len(ended), maxPendingVerdicts/4)]}); err != nil {
+	if err := r.store.Commit(ctx, table.Removal(ended)); err != nil {
 		r.journal.Log("ended_verdicts_not_removed", "rows", len(ended), "err", err)
 	}
 }
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -157,7 +157,7 @@
 func (r *Router) assemble(ctx context.Context, config Config) error {
 	settings := r.settings
 	r.store = platform.NewStore(platform.StoreConfig{
-		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.Dial, Observe: r.observeStoreCall, OnRestore: r.observeRestore,
+		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.DialReset, Observe: r.observeStoreCall, OnRestore: r.observeRestore,
 	})
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
@@ -309,11 +309,7 @@
 	r.callerListener.DisableKeepAlives()
 	r.cancelReporting()
 	r.reporting.Wait()
-	releaseCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	if err := r.lease.Release(releaseCtx); err != nil {
-		r.journal.Log("lease_not_released", "err", err)
-	}
-	cancel()
+	r.releaseLease(ctx)
 	clock.Sleep(ctx, time.Until(start.Add(drainAcceptTime)), nil)
 	drainCtx, cancel := context.WithDeadline(ctx, start.Add(grace-stopReserve))
 	r.callerListener.Drain(drainCtx)
@@ -336,5 +332,18 @@
 	r.journal.Close(journalTimeout)
 }
 
+// releaseLease releases the lease for usage reports, unless a report may still arrive, which must not happen after one of the next holder.
+func (r *Router) releaseLease(ctx context.Context) {
+	if r.reporter.MayBeInFlight() {
+		r.journal.Log("lease_not_released", "err", "a report may be in flight")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := r.lease.Release(ctx); err != nil {
+		r.journal.Log("lease_not_released", "err", err)
+	}
+}
+
 // configAge returns the time since the configuration in force was last confirmed to be the newest.
 func (r *Router) configAge() time.Duration { return r.configuration.Age(clock.Boot()) }
--- a/internal/role/router/suspects.go
+++ b/internal/role/router/suspects.go
@@ -80,22 +80,22 @@
 	if err != nil {
 		return err
 	}
-	now, agreed, ended := time.Now(), r.peers.AgreedTime().UnixMilli(), []table.Write(nil)
+	now, agreed, ended := time.Now(), r.peers.AgreedTime().UnixMilli(), []table.Row(nil)
 	for _, change := range batch.Changes {
 		losses, err := decodeSuspect(change, agreed)
 		if err != nil {
 			r.journal.Log("suspect_unreadable", "key", change.Key, "err", err)
 			continue
 		}
-		if len(losses) == 0 && len(ended) < maxPendingSuspects {
-			ended = append(ended, table.Write{Key: change.Key, Delete: true})
+		if len(losses) == 0 {
+			ended = append(ended, change.Row)
 		}
 		r.suspects.Merge(now, losses)
 	}
 	if len(ended) == 0 {
 		return nil
 	}
-	return r.store.Commit(ctx, table.Transaction{Writes: ended})
+	return r.store.Commit(ctx, table.Removal(ended))
 }
 
 // decodeSuspect returns the losses that a row holds, none if they do not count any more.
@@ -122,8 +122,13 @@
 	return losses, nil
 }
 
-// writeSuspect writes a request while it is blocked.
+// writeSuspect writes a request while it is blocked, unless the row has changed meanwhile: the write may be performed late.
 func (r *Router) writeSuspect(ctx context.Context, digest uint64) error {
+	key := table.Key(suspectsTable + "/" + strconv.FormatUint(digest, 16))
+	rows, err := r.store.Read(ctx, key)
+	if err != nil {
+		return err
+	}
 	losses := r.suspects.BlockedLossesOf(time.Now(), digest)
 	if len(losses) == 0 {
 		return nil
@@ -137,6 +142,7 @@
 	if err != nil {
 		return oops.Wrapf(err, "encode a request that crashed servers")
 	}
-	key := table.Key(suspectsTable + "/" + strconv.FormatUint(digest, 16))
-	return r.store.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: key, Value: value}}})
+	return r.store.Commit(ctx, table.Transaction{
+		Checks: []table.Check{{Key: key, Revision: rows[0].Revision}}, Writes: []table.Write{{Key: key, Value: value}},
+	})
 }
