--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -165,6 +165,17 @@
 	return versions
 }
 
+// Software returns the software version of a server, false if the server is not known.
+func (r *Registry) Software(id ident.Endpoint) (ident.Software, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	server := r.servers[id]
+	if server == nil {
+		return "", false
+	}
+	return server.Software, true
+}
+
 // Listed reports whether a complete list of registrations has been received.
 func (r *Registry) Listed() bool {
 	r.mu.RLock()
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -54,6 +54,8 @@
 	stored map[ident.Pool][]ident.Software
 	// watchedSince is when the first list of servers was known, 0 before; guarded by mu.
 	watchedSince clock.Reading
+	// gapEnd is when the list of servers was last known again after a time that it does not show, 0 if there was none; guarded by mu.
+	gapEnd clock.Reading
 	// completeSince is since when versions holds all of a service's versions, where that is earlier than watchedSince; guarded by mu.
 	completeSince map[ident.Pool]clock.Reading
 	// waiting holds the questions to other instances that are not settled; guarded by mu.
@@ -196,6 +198,16 @@
 	r.notify()
 }
 
+// ObserveGap records that servers may have come and gone that were in no list that this instance has read. Which versions they had is known again from
+// a history of the store that is read later.
+func (r *Registry) ObserveGap() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gapEnd = r.config.Now()
+	r.watchedSince = r.gapEnd
+	clear(r.completeSince)
+}
+
 // see records that the present versions are in use; the caller holds mu.
 func (r *Registry) see(now clock.Reading) {
 	for service, versions := range r.present {
--- a/internal/process/origin/question.go
+++ b/internal/process/origin/question.go
@@ -1,9 +1,6 @@
 package origin
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/samber/oops"
 
 	"vanillapond/pkg/ident"
@@ -12,21 +9,19 @@
 // Knowledge says what an instance knows of a stream's origin.
 type Knowledge int
 
-// What an instance may know.
+// What an instance may know. The number 2 was that of an instance that had seen one version only: that may be outdated, so it counts as Nothing.
 const (
-	// Nothing means that the instance has not watched the servers for long enough, or has no recent list of them.
-	Nothing Knowledge = iota
+	// Nothing means that the instance does not know the stream, and has not seen several versions.
+	Nothing Knowledge = 0
 	// Known means that it knows the stream.
-	Known
-	// SoleVersion means that the service has had one version only.
-	SoleVersion
+	Known Knowledge = 1
 	// SeveralVersions means that the service has had several and the stream is not known.
-	SeveralVersions
+	SeveralVersions Knowledge = 3
 )
 
 // Answer is what an instance knows of the origin of a stream.
 type Answer struct {
-	// Stream and Service are those of the question, and Software is the version if it is Known or the SoleVersion.
+	// Stream and Service are those of the question, and Software is the version if it is Known.
 	Origin    `cbor:"1,keyasint"`
 	Knowledge Knowledge `cbor:"2,keyasint,omitempty"`
 }
@@ -40,24 +35,16 @@
 	return nil
 }
 
-// Answer returns what this instance knows of the origin of a stream. fresh means that its list of servers is up to date; otherwise a service may
-// have versions that it has not seen.
-func (r *Registry) Answer(id ident.Request, service ident.Pool, fresh bool) Answer {
+// Answer returns what this instance knows of the origin of a stream.
+func (r *Registry) Answer(id ident.Request, service ident.Pool) Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.answer(id, service, fresh)
-}
-
-// answer is Answer; the caller holds mu.
-func (r *Registry) answer(id ident.Request, service ident.Pool, fresh bool) Answer {
 	if known, found := r.lookup(id); found {
 		return Answer{Origin: known, Knowledge: Known}
 	}
 	answer := Answer{Origin: Origin{Stream: id, Service: service}}
 	if len(r.recent(r.config.Now(), service)) > 1 {
 		answer.Knowledge = SeveralVersions
-	} else if software, sole := r.sole(service); sole && fresh {
-		answer.Software, answer.Knowledge = software, SoleVersion
 	}
 	return answer
 }
@@ -66,30 +53,29 @@
 type Question struct {
 	stream  ident.Request
 	service ident.Pool
-	// unanswered is the number of instances that have not answered; guarded by the registry's mu.
-	unanswered int
-	// answers are those that have come, by instance; guarded by the registry's mu.
-	answers map[ident.Process]Answer
-	settled chan struct{}
+	// severalSeen is set once an instance has answered that it has seen several versions; guarded by the registry's mu.
+	severalSeen bool
+	settled     chan struct{}
 }
 
-// Ask registers a question to a number of instances; the caller sends it to them and calls Close at the end.
-func (r *Registry) Ask(id ident.Request, service ident.Pool, instances int) *Question {
+// Ask registers a question to other instances; the caller sends it to them and calls Close at the end.
+func (r *Registry) Ask(id ident.Request, service ident.Pool) *Question {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	question := &Question{
-		stream: id, service: service, unanswered: instances, answers: make(map[ident.Process]Answer), settled: make(chan struct{}),
-	}
+	question := &Question{stream: id, service: service, settled: make(chan struct{})}
 	r.waiting[question] = struct{}{}
 	return question
 }
 
-// Settled is closed once the stream is known, or all instances have answered and the answers name one version. It stays open if they leave the
-// version undecided: an instance that is told where the stream began may be told after its answer.
+// Subject returns the stream and the service of the question.
+func (q *Question) Subject() Origin { return Origin{Stream: q.stream, Service: q.service} }
+
+// Settled is closed once the stream is known. No other answer settles a question: an instance that is told where the stream began may be told after
+// its answer.
 func (q *Question) Settled() <-chan struct{} { return q.settled }
 
 // Receive applies an answer of another instance.
-func (r *Registry) Receive(from ident.Process, answer Answer) {
+func (r *Registry) Receive(answer Answer) {
 	if answer.Knowledge == Known {
 		r.Merge([]Origin{answer.Origin})
 		return
@@ -97,13 +83,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for question := range r.waiting {
-		if _, repeated := question.answers[from]; repeated || question.stream != answer.Stream || question.service != answer.Service {
-			continue
-		}
-		question.answers[from] = answer
-		question.unanswered--
-		if _, decided := soleVersion(slices.Collect(maps.Values(question.answers))); decided && question.unanswered <= 0 {
-			r.settle(question)
+		if question.stream == answer.Stream && question.service == answer.Service && answer.Knowledge == SeveralVersions {
+			question.severalSeen = true
 		}
 	}
 }
@@ -114,38 +95,29 @@
 	close(question.settled)
 }
 
-// View says how recent an instance's list of servers is.
-type View struct {
-	// Fresh means that the list is as recent as the feed shows; a cut that nobody has noticed yet may hide a new version.
-	Fresh bool
-	// Confirmed means that the store has responded just now.
-	Confirmed bool
-}
-
-// Close ends a question and returns where the stream began, if that is certain: an instance knows it, or the service has had one
-// version only, of which this instance or one that answered is sure, and none that answered has seen several. An instance to which no other
-// answers may be cut off, so that it trusts its list only if it is confirmed.
-func (r *Registry) Close(question *Question, view View) (Origin, bool) {
+// Close ends a question and returns where the stream began, if that is certain: an instance knows it, or its service has had one version only. The
+// latter is known only if the list of servers is current as of the question or later, for a stream may have begun at a version that joined just before,
+// and if none that answered has seen several.
+func (r *Registry) Close(question *Question, listCurrent bool) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.waiting, question)
-	own := r.answer(question.stream, question.service, view.Fresh && (view.Confirmed || len(question.answers) > 0))
-	if own.Knowledge == Known {
-		return own.Origin, true
+	if known, found := r.lookup(question.stream); found {
+		return known, true
+	}
+	began := Origin{Stream: question.stream, Service: question.service}
+	software, sole := r.sole(question.service)
+	if !listCurrent || !sole || question.severalSeen {
+		return began, false
 	}
-	software, found := soleVersion(append(slices.Collect(maps.Values(question.answers)), own))
-	return Origin{Stream: question.stream, Service: question.service, Software: software}, found
+	began.Software = software
+	return began, true
 }
 
-// soleVersion returns the only software version that answers on an unknown stream name, if they agree.
-func soleVersion(answers []Answer) (software ident.Software, found bool) {
-	for _, answer := range answers {
-		switch {
-		case answer.Knowledge == SeveralVersions, answer.Knowledge == SoleVersion && found && answer.Software != software:
-			return "", false
-		case answer.Knowledge == SoleVersion:
-			software, found = answer.Software, true
-		}
-	}
-	return software, found
+// HasSoleVersion reports whether a service has had one software version only for as long as a stream may be taken up, as far as is known here.
+func (r *Registry) HasSoleVersion(service ident.Pool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, sole := r.sole(service)
+	return sole
 }
--- a/internal/role/router/loops.go
+++ b/internal/role/router/loops.go
@@ -69,7 +69,7 @@
 		r.followTable(platform.OperatorTable, configPollTimeout(r.settings.Bounds), 0, r.applyConfiguration),
 		r.followTable(platform.ServersTable, serversPollTimeout(r.settings.Bounds), serversBatchDelay, r.applyServers),
 		r.followTable(quarantineTable, verdictsPollTimeout, 0, r.applyVerdicts),
-		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.keepSuspects, r.origins.share, r.syncSoftware,
+		r.peers.Run, r.sweep, r.gossip.receive, r.gossip.send, r.storeVerdicts, r.keepSuspects, r.origins.share, r.syncSoftware, r.serverList.Run,
 	}
 	for _, loop := range loops {
 		r.loops.Go(func() { loop(ctx) })
@@ -193,7 +193,7 @@
 
 // applyServers applies the last change of each server's registration. A registration that cannot be decoded counts as removed.
 func (r *Router) applyServers(update follow.Update) {
-	r.serversRead.Store(int64(update.CurrentAsOf))
+	gap := r.missesServers(update)
 	registered := make(map[ident.Endpoint]platform.Server)
 	removed := make(map[ident.Endpoint]bool)
 	for _, change := range update.Changes {
@@ -214,7 +214,41 @@
 	}
 	added, deregistered := slices.Collect(maps.Values(registered)), slices.Collect(maps.Keys(removed))
 	r.logServers(r.servers.Update(added, deregistered, update.Snapshot))
+	if gap {
+		r.journal.Log("servers_missed", "snapshot", update.Snapshot, "revision", update.Revision)
+		r.origins.known.ObserveGap()
+		r.requestSoftwareSync()
+	}
 	r.observeSoftware()
+	r.serverList.Applied(update)
+}
+
+// missesServers reports whether an update shows that servers have come and gone, or had another software version, between two states of the list.
+func (r *Router) missesServers(update follow.Update) bool {
+	if update.Snapshot {
+		return r.servers.Listed()
+	}
+	inUpdate := make(map[ident.Endpoint]ident.Software)
+	for _, change := range update.Changes {
+		id := ident.Endpoint(strings.TrimPrefix(string(change.Key), platform.ServersTable+"/"))
+		listed, isListed := r.servers.Software(id)
+		earlier, isChangedAgain := inUpdate[id]
+		if change.Deleted {
+			if !isListed || isChangedAgain && earlier != listed {
+				return true
+			}
+			continue
+		}
+		server, err := platform.DecodeServer(id, change.Value)
+		if err != nil {
+			continue
+		}
+		if isChangedAgain && earlier != server.Software {
+			return true
+		}
+		inUpdate[id] = server.Software
+	}
+	return false
 }
 
 // maxServerLines is the number of servers of one update that are logged one by one.
@@ -344,9 +378,6 @@
 	answered := err == nil || errors.Is(err, table.ErrConflict) || errors.Is(err, table.ErrHistoryUnavailable)
 	r.metrics.observeStoreCall(call, took, err)
 	r.servers.ObserveStore(took, answered)
-	if answered {
-		r.storeResponded.Store(int64(clock.Boot()))
-	}
 	switch {
 	case !r.health.recordStoreCall(answered):
 	case answered:
--- a/internal/role/router/origins.go
+++ b/internal/role/router/origins.go
@@ -21,8 +21,12 @@
 	// askInterval is the time after which a question is sent again, in case a datagram was lost, and askAttempts how often it is sent.
 	askInterval = 60 * time.Millisecond
 	askAttempts = 3
-	// storeConfirmedFor is for how long after a response the store counts as reached: longer than the shortest time between two heartbeats.
-	storeConfirmedFor = 1500 * time.Millisecond
+	// maxFindTime bounds the time in which the store confirms the list of servers.
+	maxFindTime = 500 * time.Millisecond
+	// confirmReadFraction is the fraction of the store's read rate that all instances together may use to confirm their lists, and maxConfirmInterval
+	// the longest time between two such calls of an instance.
+	confirmReadFraction = 0.05
+	maxConfirmInterval  = 2 * time.Second
 	// maxOrigins bounds the streams in one datagram.
 	maxOrigins = 100
 	// minStreamMemory is the minimum time for which streams are remembered.
@@ -82,30 +86,51 @@
 // Unstored implements forward.Origins.
 func (o *origins) Unstored(service ident.Pool) []ident.Software { return o.known.Unstored(service) }
 
-// Find implements forward.Origins.
+// Find implements forward.Origins. It asks other instances, and, if the service seems to have one version, also whether the list of servers is current.
 func (o *origins) Find(ctx context.Context, stream ident.Request, service ident.Pool) (origin.Origin, bool) {
 	if known, found := o.known.Lookup(stream); found {
 		return known, true
 	}
-	start := time.Now()
+	start := clock.Boot()
+	ctx, cancel := context.WithTimeout(ctx, maxFindTime)
+	defer cancel()
 	asked := o.selectPeers(stream, origin.Asked)
-	question := o.known.Ask(stream, service, len(asked))
-	datagram := o.router.originDatagram(originMessage{Questions: []origin.Origin{{Stream: stream, Service: service}}})
-	for attempt := 0; attempt < askAttempts && len(asked) > 0 && ctx.Err() == nil; attempt++ {
-		for _, peer := range asked {
-			o.router.gossip.sendTo(peer, datagram)
+	question := o.known.Ask(stream, service)
+	var confirmed <-chan struct{}
+	if o.known.HasSoleVersion(service) {
+		confirmed = o.router.serverList.Confirm(ctx, start)
+	}
+	listCurrent := o.await(ctx, question, asked, confirmed)
+	began, found := o.known.Close(question, listCurrent)
+	o.router.journal.Log("stream_origin", "stream", stream, "service", began.Service, "found", found, "software", began.Software,
+		"asked", len(asked), "sole_version", confirmed != nil, "list_current", listCurrent, "took", clock.Boot().Sub(start))
+	return began, found
+}
+
+// await sends a question until the stream is known, or the list of servers is current and shows one version. It reports whether the list is current;
+// confirmed is closed once it is, and nil if that would not help.
+func (o *origins) await(ctx context.Context, question *origin.Question, asked []peers.Peer, confirmed <-chan struct{}) bool {
+	datagram := o.router.originDatagram(originMessage{Questions: []origin.Origin{question.Subject()}})
+	for attempt := 0; attempt < askAttempts || confirmed != nil; attempt++ {
+		if attempt < askAttempts {
+			for _, peer := range asked {
+				o.router.gossip.sendTo(peer, datagram)
+			}
 		}
 		select {
 		case <-question.Settled():
-			attempt = askAttempts
+			return false
+		case <-confirmed:
+			if o.known.HasSoleVersion(question.Subject().Service) {
+				return true
+			}
+			confirmed = nil
 		case <-time.After(askInterval):
 		case <-ctx.Done():
+			return false
 		}
 	}
-	began, found := o.known.Close(question, origin.View{Fresh: o.router.serversFresh(), Confirmed: o.router.storeConfirmed()})
-	o.router.journal.Log("stream_origin", "stream", stream, "service", began.Service, "found", found, "software", began.Software,
-		"asked", len(asked), "took", time.Since(start))
-	return began, found
+	return false
 }
 
 // receive applies a message from a peer, and answers its questions.
@@ -116,11 +141,11 @@
 	}
 	o.known.Merge(received.Began)
 	for _, answer := range received.Answers {
-		o.known.Receive(from, answer)
+		o.known.Receive(answer)
 	}
 	var answers []origin.Answer
 	for _, question := range received.Questions {
-		answers = append(answers, o.known.Answer(question.Stream, question.Service, o.router.serversFresh()))
+		answers = append(answers, o.known.Answer(question.Stream, question.Service))
 	}
 	if len(answers) > 0 {
 		reply(o.router.originDatagram(originMessage{Answers: answers}))
@@ -169,13 +194,11 @@
 	return r.encode(message{Process: r.settings.Process, Version: r.configuration.Version(), Answer: true, Origins: content})
 }
 
-// storeConfirmed reports whether the store has responded within storeConfirmedFor.
-func (r *Router) storeConfirmed() bool {
-	return clock.Boot().Sub(clock.Reading(r.storeResponded.Load())) < storeConfirmedFor
-}
-
-// serversFresh reports whether the list of servers is so recent that it has all software versions that serve.
-func (r *Router) serversFresh() bool {
-	age := r.serversAge()
-	return age > 0 && age < serversPollTimeout(r.bounds())+storeTimeout
+// confirmInterval returns the least time between two calls by which this instance confirms its list of servers.
+func (r *Router) confirmInterval() time.Duration {
+	reads := confirmReadFraction * r.settings.Store.ReadsPerSecond
+	if reads <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(r.instances())/reads*float64(time.Second)), maxConfirmInterval)
 }
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -19,6 +19,7 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/connection/socket"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/follow"
 	"vanillapond/internal/process/journal"
 	"vanillapond/internal/process/lease"
 	"vanillapond/internal/process/listener"
@@ -85,11 +86,9 @@
 	peerUsage       usageByPeer
 	peerFreshness   peerFreshness
 	reporter        *usage.Reporter
-	// serversRead is the time as of which the known list of servers was current, as a clock.Reading.
-	serversRead atomic.Int64
-	// storeResponded is when the store last responded, as a clock.Reading.
-	storeResponded atomic.Int64
-	health         health
+	// serverList tells as of when the known list of servers is current.
+	serverList *follow.Confirmer
+	health     health
 	// startedAt is when the router was started.
 	startedAt clock.Reading
 	// currentBounds are the bounds of the latest settings. Components that were built with earlier bounds keep those.
@@ -159,6 +158,7 @@
 	r.store = platform.NewStore(platform.StoreConfig{
 		Address: settings.Store.Address, Timeout: storeTimeout, Dial: socket.DialReset, Observe: r.observeStoreCall, OnRestore: r.observeRestore,
 	})
+	r.serverList = follow.NewConfirmer(follow.ConfirmerConfig{Feed: r.store, Table: platform.ServersTable, Interval: r.confirmInterval})
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
 		MinOutage:   minOutageHeartbeats * settings.Heartbeat,
@@ -283,11 +283,11 @@
 
 // serversAge returns how old the known list of servers is; 0 before the first one.
 func (r *Router) serversAge() time.Duration {
-	read := clock.Reading(r.serversRead.Load())
-	if read == 0 {
+	asOf := r.serverList.AsOf()
+	if asOf == 0 {
 		return 0
 	}
-	return clock.Boot().Sub(read)
+	return clock.Boot().Sub(asOf)
 }
 
 // leaseRank returns this instance's rank among the router instances that may hold the lease for usage reports.
--- a/internal/role/router/software.go
+++ b/internal/role/router/software.go
@@ -102,6 +102,7 @@
 
 // mergeSoftware merges the histories with those in the store, in both directions.
 func (r *Router) mergeSoftware(ctx context.Context) error {
+	sent := clock.Boot()
 	batch, err := r.store.List(ctx, softwareTable)
 	if err != nil {
 		return err
@@ -120,11 +121,13 @@
 		}
 		stored[service] = row
 		r.origins.known.SetStored(service, row.versions())
-		r.origins.known.MergeHistory(service, row.history(storeTime, now))
+		history := row.history(storeTime, now)
+		history.AsOf = sent
+		r.origins.known.MergeHistory(service, history)
 	}
 	if len(batch.Changes) == 0 && r.settings.FirstStart {
 		for service := range r.origins.known.Histories() {
-			r.origins.known.MergeHistory(service, origin.History{Since: now.Add(-firstStartHistory)})
+			r.origins.known.MergeHistory(service, origin.History{AsOf: sent, Since: now.Add(-firstStartHistory)})
 		}
 	}
 	var failed error
