--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -18,6 +18,7 @@
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/statusline"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/configuration"
 	"vanillapond/pkg/ident"
@@ -140,6 +141,9 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return link.Usage{}, oops.Wrapf(ErrInterrupted, "back end switched protocols without a request to do so")
 	}
+	if statusline.InHead(response) {
+		return link.Usage{}, oops.Wrapf(ErrInterrupted, "another response begins inside the head")
+	}
 	if err := writer.Head(response.StatusCode, EndToEndHeaders(response.Header)); err != nil {
 		return link.Usage{}, err
 	}
@@ -151,13 +155,16 @@
 	var body io.Reader = response.Body
 	// Servers may declare the form that was asked for although an error response has another one.
 	successful := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
-	if successful && eventstream.Is(response.Header) {
-		body = eventstream.NewReader(body)
-	}
 	if successful && needsJSONCheck(response) {
 		body = &jsonReader{source: body}
 	}
 	if b.config.Kind == configuration.KindService {
+		if successful && eventstream.Is(response.Header) {
+			return usage, readEvents(body, func(event []byte) error {
+				_, err := writer.Write(event)
+				return err
+			})
+		}
 		return usage, copyBody(writer, body)
 	}
 	if response.StatusCode != http.StatusOK {
--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/connection/link"
+	"vanillapond/internal/eventstream"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/ident"
 )
@@ -93,52 +94,67 @@
 	return reportedUsage(*completion.Usage), nil
 }
 
-// eventCopier copies an event stream, event by event.
+// readEvents calls handle with each event of a stream as it is complete.
+//
+// It returns ErrInterrupted for a stream that ends inside an event, for an event that is too long, and for one that holds the head of another response.
+func readEvents(r io.Reader, handle func(event []byte) error) error {
+	reader := bufio.NewReaderSize(r, eventBufferSize)
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		if len(event)+len(line) > maxEventBytes {
+			return oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
+		}
+		event = append(event, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(event) == 0:
+			return nil
+		case errors.Is(err, io.EOF):
+			return oops.Wrapf(ErrInterrupted, "the stream ends inside an event")
+		case err != nil:
+			return oops.Wrapf(ErrInterrupted, "%v", err)
+		case len(bytes.TrimRight(line, "\r\n")) > 0:
+			continue
+		}
+		for each := range eventstream.Events(event) {
+			if each.HasResponseHead {
+				return oops.Wrapf(ErrInterrupted, "another response begins inside the stream")
+			}
+		}
+		if err := handle(event); err != nil {
+			return err
+		}
+		event = event[:0]
+	}
+}
+
+// eventCopier copies the event stream of an engine.
 type eventCopier struct {
 	w            io.Writer
 	includeUsage bool
-	event        []byte
 	usage        *api.Usage
 	events       ident.Tokens
 	done         bool
 }
 
-// copyEvents copies an event stream until its end and returns its usage.
+// copyEvents copies the event stream of an engine until its end and returns its usage.
 //
-// It returns ErrInterrupted for a stream without the end marker or with an event that is too long.
+// It returns ErrInterrupted for a stream without the end marker.
 func copyEvents(w io.Writer, r io.Reader, includeUsage bool) (link.Usage, error) {
 	copier := &eventCopier{w: w, includeUsage: includeUsage}
-	reader := bufio.NewReaderSize(r, eventBufferSize)
-	for {
-		line, err := reader.ReadSlice('\n')
-		if len(copier.event)+len(line) > maxEventBytes {
-			return copier.partialUsage(), oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
-		}
-		copier.event = append(copier.event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return copier.finish()
-		}
-		if err != nil {
-			return copier.partialUsage(), oops.Wrapf(ErrInterrupted, "%v", err)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		if err := copier.flushEvent(); err != nil {
-			return copier.partialUsage(), err
-		}
+	if err := readEvents(r, copier.copy); err != nil {
+		return copier.partialUsage(), err
 	}
+	return copier.finish()
 }
 
-// flushEvent passes an event on, except for a usage event that the caller did not ask for.
-func (c *eventCopier) flushEvent() error {
-	defer func() { c.event = c.event[:0] }()
-	payload, found := bytes.CutPrefix(c.event, dataPrefix)
+// copy passes an event on, except for a usage event that the caller did not ask for.
+func (c *eventCopier) copy(event []byte) error {
+	payload, found := bytes.CutPrefix(event, dataPrefix)
 	if !found {
-		_, err := c.w.Write(c.event)
+		_, err := c.w.Write(event)
 		return err
 	}
 	switch {
@@ -151,7 +167,7 @@
 	default:
 		c.events++
 	}
-	_, err := c.w.Write(c.event)
+	_, err := c.w.Write(event)
 	return err
 }
 
@@ -166,9 +182,6 @@
 }
 
 func (c *eventCopier) finish() (link.Usage, error) {
-	if len(c.event) > 0 {
-		return c.partialUsage(), oops.Wrapf(ErrInterrupted, "the stream ends inside an event")
-	}
 	if !c.done {
 		return c.partialUsage(), oops.Wrapf(ErrInterrupted, "the stream has no end mark")
 	}
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -18,6 +18,7 @@
 
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/process/outcome"
+	"vanillapond/internal/statusline"
 )
 
 // Size limits of one exchange.
@@ -176,7 +177,7 @@
 		if err != nil {
 			return err
 		}
-		if httpResponse.StatusCode == http.StatusSwitchingProtocols {
+		if httpResponse.StatusCode == http.StatusSwitchingProtocols || statusline.InHead(httpResponse) {
 			return ErrMalformed
 		}
 		if httpResponse.StatusCode < http.StatusOK {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -105,7 +105,7 @@
 func (r *streamRelay) follows(event eventstream.Event) bool {
 	last := r.call.lastEventID
 	switch {
-	case event.IsResponseHead:
+	case event.HasResponseHead:
 		return false
 	case event.HasID:
 		return follows(event.ID, last)
--- a/internal/request/gateway/abort_test.go
+++ b/internal/request/gateway/abort_test.go
@@ -114,3 +114,19 @@
 		})
 	}
 }
+
+// TestErrorEventInErrorResponse guards against an error event behind a part of an error response that is declared as an event stream.
+func TestErrorEventInErrorResponse(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const problem = "database is"
+	address := serveSidecar(t, handlerFunc(func(stream *link.Incoming) {
+		_ = stream.Accept(link.Load{Capacity: 1})
+		_ = stream.Head(http.StatusInternalServerError, []link.Header{{Name: "Content-Type", Value: "text/event-stream"}})
+		_, _ = io.WriteString(stream, problem+"\n\n")
+		_ = stream.Deny(link.Deny{Code: link.DenyFailed, Load: link.Load{Capacity: 1}})
+	}), false)
+	status, _, body := sendToService(t, address)
+	is.Equal(status, http.StatusBadGateway)
+	is.True(!strings.Contains(body, problem))
+}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -68,7 +68,11 @@
 	r.response.Head = &link.Head{Stream: head.Stream, Status: status, Header: header}
 }
 
+// isEventStream reports whether the caller gets an event stream, and not an error response that is declared as one.
 func (r *relay) isEventStream() bool {
+	if r.response.Head.Status >= http.StatusMultipleChoices {
+		return false
+	}
 	for _, field := range r.response.Head.Header {
 		if field.Name == "Content-Type" {
 			return strings.HasPrefix(field.Value, "text/event-stream")
