--- a/internal/request/forward/authorize.go
+++ b/internal/request/forward/authorize.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"vanillapond/internal/version/routes"
@@ -44,11 +45,10 @@
 	if c.request.ContentLength == 0 {
 		return nil
 	}
-	// A body that arrives after the deadline is of no use. The read deadline is cleared afterwards, because net/http then reads
-	// from the connection to detect that the caller disconnects.
+	// A body that arrives after the deadline is of no use. The read deadline is cleared once the body is read, because net/http then reads from the
+	// connection to detect that the caller disconnects. Otherwise it stays, so that net/http does not wait for the rest.
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout()))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var err error
 	if c.request.ContentLength > 0 {
 		c.body = make([]byte, c.request.ContentLength)
@@ -60,9 +60,14 @@
 		// net/http detects that the caller disconnects only after the body was read to EOF.
 		_, err = c.request.Body.Read(make([]byte, 1))
 		if errors.Is(err, io.EOF) {
+			_ = control.SetReadDeadline(time.Time{})
 			return nil
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// net/http ends the context of all requests of a connection with the first error of reading from it.
+		return &refusal{status: http.StatusRequestTimeout, reason: "body came too late", closesConnection: true, mayReadOn: true}
+	}
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -213,8 +213,8 @@
 	trial  bool
 	record Record
 	wait   waitState
-	// headWritten is set once the status line and headers of a response were written to the caller.
-	headWritten bool
+	// headWritten is set once the status line and headers of a server's response were written to the caller, and responded once those of any were.
+	headWritten, responded bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
@@ -264,8 +264,9 @@
 	defer func() {
 		c.record.Duration = time.Since(c.arrived)
 		f.config.Observe(c.record)
-		if c.record.Outcome == outcomeTruncated {
-			// Aborts the connection without the end of the response, so that the caller can't take it for complete.
+		if c.record.Outcome == outcomeTruncated || !c.responded {
+			// Aborts the connection without the end of the response, so that the caller can't take it for complete. Where nothing was written, net/http would
+			// write an empty success.
 			panic(http.ErrAbortHandler)
 		}
 	}()
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -140,7 +140,7 @@
 	if c.headWritten {
 		return
 	}
-	c.headWritten = true
+	c.headWritten, c.responded = true, true
 	header := c.writer.Header()
 	upstream := response.Header
 	platform.RemoveHopByHopHeaders(upstream)
--- a/internal/request/gateway/abort_test.go
+++ b/internal/request/gateway/abort_test.go
@@ -41,7 +41,7 @@
 }
 
 // serveSidecar starts an entry with one sidecar, and returns its address. The requests of its only class may run twice if it is idempotent.
-func serveSidecar(t *testing.T, handler link.Handler, idempotent bool) string {
+func serveSidecar(t *testing.T, handler link.Handler, idempotent bool, changes ...func(*gateway.Config)) string {
 	t.Helper()
 	hello := func() link.Hello {
 		return link.Hello{
@@ -71,10 +71,14 @@
 			t.Fatal("no link")
 		}
 	}
-	entry := httptest.NewServer(gateway.New(gateway.Config{
+	config := gateway.Config{
 		Snapshots: &snapshots, Events: events, Ledger: ledger.New(ledger.Config{Process: "p", Incarnation: "i", WindowLength: func() int64 { return 1 }}),
 		Dispatcher: dispatch.New(dispatch.Config{Process: "p", Fleet: endpoints, Events: events, Suspects: suspects}),
-	}))
+	}
+	for _, change := range changes {
+		change(&config)
+	}
+	entry := httptest.NewServer(gateway.New(config))
 	t.Cleanup(entry.Close)
 	return entry.URL
 }
