--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -35,6 +35,10 @@
 	// MinOutage is the shortest time without an answered call to the store in which registrations of running servers can
 	// expire.
 	MinOutage time.Duration
+	// RegistrationTimeout is how long after its server has ended a registration may still be unchanged; 0 means a default.
+	RegistrationTimeout time.Duration
+	// ListAsOf returns as of when the list of registrations is known to be current; nil means now.
+	ListAsOf func() clock.Reading
 	// OnEvent receives the changes that follow from the servers' responses; nil means that they are ignored.
 	OnEvent func(Event)
 	// Share returns this instance's share of the rates that servers accept from all instances together; nil means all of them.
@@ -61,6 +65,8 @@
 	warming map[ident.Endpoint]*warmup
 	// evacuated holds the failure domains whose servers get no requests; the set is replaced, never modified. Guarded by mu.
 	evacuated map[ident.FailureDomain]bool
+	// refused holds the last refusal of a connection by each server, until its registration is certain again; guarded by mu.
+	refused map[ident.Endpoint]refusal
 	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
 	departed map[Incarnation]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
@@ -93,7 +99,14 @@
 	if config.AgreedTime == nil {
 		config.AgreedTime = time.Now
 	}
+	if config.ListAsOf == nil {
+		config.ListAsOf = config.Now
+	}
+	if config.RegistrationTimeout == 0 {
+		config.RegistrationTimeout = defaultRegistrationTimeout
+	}
 	return &Registry{
+		refused: make(map[ident.Endpoint]refusal),
 		limited: make(map[ident.Endpoint]*rateLimit), warming: make(map[ident.Endpoint]*warmup),
 		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
 		departed: make(map[Incarnation]clock.Reading),
@@ -311,6 +324,7 @@
 	r.sweepAnnouncements()
 	r.sweepWarming()
 	r.sweepDeparted()
+	r.sweepRefused()
 	if len(events) > 0 {
 		r.rebuildReady()
 	}
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -48,8 +48,8 @@
 		return nil, refused
 	}
 	server := findServer(ready, choice.Server)
-	if server == nil || !c.forwarder.config.Servers.Accepts(server) || c.begun && server.Software != c.software {
-		// The server was removed or stopped accepting requests since the list was read.
+	if server == nil || !c.forwarder.config.Servers.Accepts(server) || c.begun && server.Software != c.software || c.isUncertain(server) {
+		// The server was removed or stopped accepting requests since the list was read, or may have started again.
 		return nil, nil
 	}
 	hasTurn, ok := c.forwarder.config.Servers.TakeTurn(server.ID)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"vanillapond/internal/connection/direct"
@@ -271,7 +272,7 @@
 // confirm reports whether the request may still be sent to a server, which may have changed while the request waited for a connection. A retry draws
 // on the budget only now, when it is certain to be sent.
 func (c *call) confirm(server *servers.Server, hasTurn bool) bool {
-	if !c.forwarder.config.Servers.Accepts(server) {
+	if !c.forwarder.config.Servers.Accepts(server) || c.isUncertain(server) {
 		return false
 	}
 	if !hasTurn {
@@ -297,6 +298,9 @@
 		failure = &direct.Error{Outcome: outcome.Unknown, Cause: err}
 	}
 	if failure.Outcome == outcome.NotRun {
+		if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
+			c.forwarder.config.Servers.MarkRefused(server.Incarnation())
+		}
 		if failure.Unreachable {
 			return undelivered, placement.Unreachable
 		}
--- a/internal/request/forward/software.go
+++ b/internal/request/forward/software.go
@@ -11,7 +11,7 @@
 
 // takesUp reports whether the caller takes up a stream of which it has events.
 func (c *call) takesUp() bool {
-	return c.mayRunTwice() && c.route.Kind == platform.Streaming &&
+	return c.mayBeTakenUp() &&
 		(c.request.Header.Get(platform.HeaderResumes) != "" || c.request.Header.Get(platform.HeaderLastEventID) != "")
 }
 
@@ -57,34 +57,41 @@
 	c.query.Later = slices.DeleteFunc(withoutTurn, func(id ident.Endpoint) bool { return slices.Contains(otherVersions, id) })
 }
 
-// otherVersions returns the servers whose software version the request should not get.
+// otherVersions returns the servers whose software version the request should not get, or whose version is not certain.
 func (c *call) otherVersions(ready []*servers.Server) []ident.Endpoint {
-	var others []ident.Endpoint
-	if c.begun {
-		for _, server := range ready {
-			if server.Software != c.software {
-				others = append(others, server.ID)
-			}
-		}
-		return others
-	}
-	if c.route.Kind != platform.Streaming || !c.mayRunTwice() {
+	if !c.mayBeTakenUp() {
 		return nil
 	}
-	unstored := c.forwarder.config.Origins.Unstored(c.service)
-	if len(unstored) == 0 {
-		return nil
-	}
-	for _, server := range ready {
-		if slices.Contains(unstored, server.Software) {
-			others = append(others, server.ID)
-		}
+	uncertain := c.forwarder.config.Servers.WithUncertainSoftware()
+	if c.begun {
+		return append(uncertain, serversWith(ready, func(software ident.Software) bool { return software != c.software })...)
 	}
+	unstored := c.forwarder.config.Origins.Unstored(c.service)
+	others := serversWith(ready, func(software ident.Software) bool { return slices.Contains(unstored, software) })
 	if len(others) == len(ready) {
 		// No server has a version that the store knows: it accepts no writes, or the service is new.
-		return nil
+		return uncertain
+	}
+	return append(uncertain, others...)
+}
+
+// serversWith returns the servers whose software version matches.
+func serversWith(list []*servers.Server, matches func(ident.Software) bool) []ident.Endpoint {
+	var matching []ident.Endpoint
+	for _, server := range list {
+		if matches(server.Software) {
+			matching = append(matching, server.ID)
+		}
 	}
-	return others
+	return matching
+}
+
+// mayBeTakenUp reports whether the request brings a stream that may go on at another server, or over another request.
+func (c *call) mayBeTakenUp() bool { return c.route.Kind == platform.Streaming && c.mayRunTwice() }
+
+// isUncertain reports whether a server must not get the request because its software version is not certain.
+func (c *call) isUncertain(server *servers.Server) bool {
+	return c.mayBeTakenUp() && slices.Contains(c.forwarder.config.Servers.WithUncertainSoftware(), server.ID)
 }
 
 // noServerReason returns why no server takes the request.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -161,7 +161,8 @@
 	r.serverList = follow.NewConfirmer(follow.ConfirmerConfig{Feed: r.store, Table: platform.ServersTable, Interval: r.confirmInterval})
 	r.servers = servers.New(servers.Config{
 		NewPool: r.newPool, ReregistrationTimeout: reregistrationTime, RecoveryBound: missingServerTimeout(settings.Bounds),
-		MinOutage:   minOutageHeartbeats * settings.Heartbeat,
+		MinOutage: minOutageHeartbeats * settings.Heartbeat,
+		ListAsOf:  r.serverList.AsOf, RegistrationTimeout: registrationTimeout(settings.Heartbeat),
 		OnEvent:     func(event servers.Event) { r.recordAnnouncement(event) },
 		WarmupLimit: r.warmupLimit,
 		Share:       func() sharedrate.Share { return r.peers.Share() }, AgreedTime: func() time.Time { return r.peers.AgreedTime() },
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -103,3 +103,10 @@
 	}
 	return min(timeout, max(bounds.Contact-storeTimeout-pollResumeTime, minPollTimeout))
 }
+
+// registrationTimeout returns how long after its server has ended a registration may still be unchanged: it expires after three heartbeats, and a server
+// that starts again at once has registered by then.
+func registrationTimeout(heartbeat time.Duration) time.Duration {
+	const heartbeats = 4
+	return heartbeats * heartbeat
+}
