--- a/internal/role/router/lease_release_test.go
+++ b/internal/role/router/lease_release_test.go
@@ -25,12 +25,15 @@
 			is := is.New(t)
 			h := startRouters(t, 1)
 			h.duties.LoseResponses(func(int) bool { return c.lost })
+			count := func() int { return strings.Count(h.logs[0].String(), c.event) }
 			// After a report, those of earlier windows may follow at once.
-			eventually(t, c.event, func() bool {
-				count := strings.Count(h.logs[0].String(), c.event)
+			eventually(t, "no report follows", func() bool {
+				before := count()
 				time.Sleep(quietTime)
-				return count > 0 && count == strings.Count(h.logs[0].String(), c.event)
+				return before > 0 && before == count()
 			})
+			before := count()
+			eventually(t, c.event, func() bool { return count() > before })
 			h.routers[0].Stop(context.Background())
 			is.Equal(strings.Contains(h.logs[0].String(), "event=lease_not_released"), c.lost)
 		})
