Usage windows are not taken for lost in a restore that never was

Cause, by the routers' logs: the first holder of the lease was cut off before it had reported a window; the next one had started later, found no row, and took all windows before its own start for possibly frozen in an earlier era of the store (usage_window_unknown).

Change: a holder that finds no row of the store's era writes one under its lease, with the last window that ended before it saw the era.

--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -196,7 +196,7 @@
 	now := r.config.Now()
 	due := WindowAt(now.Add(-readDelayIntervals*r.config.HeartbeatInterval()), r.config.WindowLength) - 1
 	if r.fence != grant.Fence {
-		lastReported, err := r.resume(ctx, due)
+		lastReported, err := r.resume(ctx, grant, due)
 		if err != nil {
 			return err
 		}
@@ -263,7 +263,7 @@
 //
 // The previous holder may have left its most recent windows unreported. Older windows are skipped because their reports would
 // be too late.
-func (r *Reporter) resume(ctx context.Context, due Window) (Window, error) {
+func (r *Reporter) resume(ctx context.Context, grant lease.Grant, due Window) (Window, error) {
 	oldest := due - Window(r.config.MaxReportDelay/r.config.WindowLength) - 1
 	rows, err := r.config.Table.Read(ctx, lastReportedKey)
 	if err != nil {
@@ -274,7 +274,7 @@
 		r.unsafeUntil = r.config.EraSince()
 	}
 	if rows[0].Revision == 0 {
-		return oldest, nil
+		return oldest, r.storeEra(ctx, grant, rows[0])
 	}
 	var last lastReportedRow
 	if err := json.Unmarshal(rows[0].Value, &last); err != nil {
@@ -283,6 +283,8 @@
 	}
 	if last.Era == rows[0].Era {
 		r.unsafeUntil = time.Time{}
+	} else if err := r.storeEra(ctx, grant, rows[0]); err != nil {
+		return 0, err
 	}
 	if last.Window > due {
 		// The previous holder's clock was ahead. Reporting a window again does no harm, but omitting one would.
@@ -291,6 +293,27 @@
 	return max(last.Window, oldest), nil
 }
 
+// storeEra stores the last window that may have been frozen before the table's era, so that a holder that started later than this one need not take
+// those since for lost. row is the row at lastReportedKey as read.
+func (r *Reporter) storeEra(ctx context.Context, grant lease.Grant, row table.Row) error {
+	if r.unsafeUntil.IsZero() {
+		return nil
+	}
+	leaseCheck, err := r.config.Lease.Condition(grant)
+	if err != nil {
+		return err
+	}
+	// The window in which the era was first seen ends after it.
+	last, err := json.Marshal(lastReportedRow{Window: WindowAt(r.unsafeUntil, r.config.WindowLength) - 1, Era: row.Era})
+	if err != nil {
+		return oops.Wrapf(err, "encode %s", lastReportedKey)
+	}
+	return r.config.Table.Commit(ctx, table.Transaction{
+		Checks: []table.Check{{Key: lastReportedKey, Revision: row.Revision}, leaseCheck},
+		Writes: []table.Write{{Key: lastReportedKey, Value: last}},
+	})
+}
+
 // timeout returns the timeout of one call.
 func (r *Reporter) timeout() time.Duration {
 	return time.Duration(callTimeoutFraction * float64(r.config.Lease.Term()))
--- a/internal/process/usage/restore_test.go
+++ b/internal/process/usage/restore_test.go
@@ -104,3 +104,22 @@
 	is.NoErr(second.Report(t.Context()))
 	is.Equal(platform.countsOf(window+1), []int64{7})
 }
+
+// TestTakeoverBeforeFirstReport guards against windows that are taken for lost in a restore that never was: the first holder of the lease ends before it
+// has reported any window, and the next one started after the windows had ended.
+func TestTakeoverBeforeFirstReport(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	end := window.End(windowLength)
+	platform := &fakePlatform{}
+	store := &restoredTable{Memory: table.NewMemory(), era: 1}
+	first := restoreHarness(store, platform, end.Add(time.Second), end.Add(-time.Second), 1)
+	first.instances = []usage.InstanceCounts{{Counts: usage.Counts{}, Until: end.Add(-time.Second)}}
+	is.NoErr(first.Report(t.Context()))
+	is.Equal(len(platform.countsOf(window)), 0)
+	started := end.Add(windowLength)
+	second := restoreHarness(store, platform, started.Add(time.Second), started, 2)
+	second.instances = instanceWith(7)
+	is.NoErr(second.Report(t.Context()))
+	is.Equal(platform.countsOf(window), []int64{7})
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,8 @@
 	// (TestUnansweredCallEndsLongPolls, TestPollTimeoutsWithinContact), or failed calls alone counted as an outage, after which
 	// missing registrations are tolerated for a while (TestMissingRegistrationWithoutOutage, TestOutageDetectedLate).
 	14, 16, 17, 1003, 1017, 32, 35, 39, 41, 42, 43,
+	// A router that started late took usage windows for lost in a restore (TestTakeoverBeforeFirstReport).
+	106,
 }
 
 // laterSeeds always run, so that short runs also cover late and slow calls, faults of the backends, unframed
