--- a/internal/request/forward/authorize.go
+++ b/internal/request/forward/authorize.go
@@ -66,7 +66,7 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// net/http ends the context of all requests of a connection with the first error of reading from it.
-		return &refusal{status: http.StatusRequestTimeout, reason: "body came too late", closesConnection: true, mayReadOn: true}
+		return &refusal{status: http.StatusRequestTimeout, reason: "body came too late", closesConnection: true, ignoresContext: true}
 	}
 	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -42,8 +42,8 @@
 	retryAfter time.Duration
 	// closesConnection asks the caller to use another connection, which may lead to another instance.
 	closesConnection bool
-	// mayReadOn means that the caller gets the response although the context of its request has ended.
-	mayReadOn bool
+	// ignoresContext means that the caller gets the response although the context of its request has ended.
+	ignoresContext bool
 	// lacksCapacity means that the request was refused for lack of capacity. retryAfter is then the expected time until there is some.
 	lacksCapacity bool
 	// mayWait means that the request may wait instead, and capacityIn is the shortest time after which it may be admitted, 0 if that is not known.
@@ -113,7 +113,7 @@
 		c.record.Outcome = outcomeTruncated
 		return
 	}
-	if c.request.Context().Err() != nil && !refused.mayReadOn {
+	if c.request.Context().Err() != nil && !refused.ignoresContext {
 		c.record.Outcome = outcomeCallerLeft
 		return
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -333,7 +333,8 @@
 	r.journal.Close(journalTimeout)
 }
 
-// releaseLease releases the lease for usage reports, unless a report may still arrive, which must not happen after one of the next holder.
+// releaseLease releases the lease for usage reports. If a report may still be in flight, it lets the lease lapse, so that the report can't arrive after
+// those of the next holder.
 func (r *Router) releaseLease(ctx context.Context) {
 	if r.reporter.MayBeInFlight() {
 		r.journal.Log("lease_not_released", "err", "a report may be in flight")
