A panic keeps its reason

Found in the read of the change: aborted requests without a response from a deferred function, so that the panic of a fault was replaced by the abort and its reason never logged. The abort follows the handling of the request now. TestPanicIsNotHidden failed and passes.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -264,22 +264,27 @@
 	defer func() {
 		c.record.Duration = time.Since(c.arrived)
 		f.config.Observe(c.record)
-		if c.record.Outcome == outcomeTruncated || !c.responded {
-			// Aborts the connection without the end of the response, so that the caller can't take it for complete. Where nothing was written, net/http would
-			// write an empty success.
-			panic(http.ErrAbortHandler)
-		}
 	}()
-	if len(r.TransferEncoding) > 0 {
+	c.serve()
+	if c.record.Outcome == outcomeTruncated || !c.responded {
+		// Aborts the connection without the end of the response, so that the caller can't take it for complete. Where nothing was written, net/http would
+		// write an empty success.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve handles the request; where it ends without a response, or with a part of one, the caller's connection must be aborted.
+func (c *call) serve() {
+	if len(c.request.TransferEncoding) > 0 {
 		// Guards against request smuggling: an intermediary that frames a chunked body in another way may take the bytes after
 		// it for another request.
-		w.Header().Set("Connection", "close")
+		c.writer.Header().Set("Connection", "close")
 	}
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
 	refused := c.findOrigin()
