Tests: a router process under crowds of clients that misbehave

Clients that the users don't control send heads and bodies over the limits, without end, or stop just short of the end and stay. The tests start a router process with 64 MiB of memory and 700 descriptors and let such a crowd press for 6 s; they check that the process lives, that its resident memory together with the bytes that it has not read, and its open sockets, stay within its settings, and that an ordinary request is served beside the crowd and after it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOPLS_VERSION := v0.21.1
 GOPLS := bin/gopls-$(GOPLS_VERSION)
 
-.PHONY: build demo test lint format gopls unit models scenarios soak measure
+.PHONY: build demo test lint format gopls unit models scenarios soak crowds measure
 
 build:
 	go build -o bin/vanillapond ./cmd/vanillapond
@@ -11,7 +11,7 @@
 demo:
 	go run ./cmd/vanillapond demo
 
-test: lint unit models scenarios soak
+test: lint unit models scenarios soak crowds
 
 lint: $(GOLANGCI)
 	$(GOLANGCI) fmt --diff
@@ -36,6 +36,10 @@
 soak:
 	./scripts/gotest ./soak/... -timeout 20m -first 1 -seeds 2
 
+# Measures memory, so nothing else should run beside it.
+crowds:
+	./scripts/gotest ./crowd
+
 measure:
 	go test ./bench -run '^$$' -bench . -benchtime 1x -timeout 30m
 
