--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -25,6 +25,9 @@
 	maxHeaderBytes  = 16 << 10
 )
 
+// endless is a length in bytes that no client reaches.
+const endless = 1 << 40
+
 // Sizes of the crowds.
 const (
 	largeBodies   = 30
@@ -49,11 +52,7 @@
 // after they are closed.
 func TestCrowd(t *testing.T) {
 	piece := []byte(strings.Repeat("x", 1<<10))
-	crowds := []struct {
-		name    string
-		clients int
-		act     misbehave
-	}{
+	crowds := []crowd{
 		{"bodies_unfinished", largeBodies, func(conn net.Conn, id string) error { return sendBody(conn, id, maxBodyBytes-1, 64<<10) }},
 		{"bodies_whole", largeBodies, func(conn net.Conn, id string) error {
 			if err := sendBody(conn, id, maxBodyBytes, 64<<10); err != nil {
@@ -79,9 +78,9 @@
 			}
 			return awaitResponse(conn)
 		}},
-		{"chunks_endless", endlessBodies, func(conn net.Conn, id string) error { return sendChunks(conn, id, 1<<40, 64<<10) }},
+		{"chunks_endless", endlessBodies, func(conn net.Conn, id string) error { return sendChunks(conn, id, endless, 64<<10) }},
 		{"chunks_small_unfinished", endlessBodies, func(conn net.Conn, id string) error { return sendChunks(conn, id, maxBodyBytes-16, 16) }},
-		{"chunks_small_endless", endlessBodies, func(conn net.Conn, id string) error { return sendChunks(conn, id, 1<<40, 16) }},
+		{"chunks_small_endless", endlessBodies, func(conn net.Conn, id string) error { return sendChunks(conn, id, endless, 16) }},
 		{"heads_unfinished", largeHeads, func(conn net.Conn, id string) error {
 			return write(conn, requestHead("GET", "/p/", "right", id)+"X-Long: "+strings.Repeat("y", 64_000))
 		}},
@@ -105,39 +104,55 @@
 			if err := write(conn, requestHead("GET", "/slow/", "right", id)+"\r\n"); err != nil {
 				return err
 			}
-			return sendPieces(conn, 1<<40, 16<<10)
+			return sendPieces(conn, endless, 16<<10)
 		}},
 		{"idle_connections", idleConns, func(net.Conn, string) error { return nil }},
 	}
 	for _, crowd := range crowds {
 		t.Run(crowd.name, func(t *testing.T) {
 			r := startRouter(t, memoryMB)
-			stop := r.watch()
-			closeAll := r.press(crowd.clients, crowd.act)
-			beside := r.ordinaryRequest()
-			closeAll()
-			after := r.ordinaryRequest()
-			peak := stop()
-			if !r.isAlive() {
-				t.Fatalf("process ended: %v", peak)
-			}
-			t.Log(peak)
-			if peak.memoryKiB > memoryMB<<10 {
-				t.Errorf("memory at its peak: found %d KiB, want at most %d MiB", peak.memoryKiB, memoryMB)
-			}
-			if peak.sockets > maxDescriptors-fileDescriptors {
-				t.Errorf("open sockets and pipes: found %d, want at most %d", peak.sockets, maxDescriptors-fileDescriptors)
-			}
-			if beside != nil {
-				t.Errorf("ordinary request while the crowd's connections are open: %v", beside)
-			}
-			if after != nil {
-				t.Errorf("ordinary request after the crowd: %v", after)
-			}
+			check(t, r.process, bounds{memoryMB: memoryMB, sockets: maxDescriptors - fileDescriptors}, crowd, r.ordinaryRequest)
 		})
 	}
 }
 
+// crowd is a number of clients that do the same.
+type crowd struct {
+	name    string
+	clients int
+	act     misbehave
+}
+
+// bounds are what a process may use at its peak.
+type bounds struct{ memoryMB, sockets int }
+
+// check has a crowd press a process, and checks what the process uses and whether it serves an ordinary request.
+func check(t *testing.T, p *process, most bounds, pressing crowd, ordinaryRequest func() error) {
+	t.Helper()
+	stop := p.watch()
+	closeAll := p.press(pressing.clients, pressing.act)
+	beside := ordinaryRequest()
+	closeAll()
+	after := ordinaryRequest()
+	peak := stop()
+	if !p.isAlive() {
+		t.Fatalf("process ended: %v", peak)
+	}
+	t.Log(peak)
+	if peak.memoryKiB > most.memoryMB<<10 {
+		t.Errorf("memory at its peak: found %d KiB, want at most %d MiB", peak.memoryKiB, most.memoryMB)
+	}
+	if peak.sockets > most.sockets {
+		t.Errorf("open sockets and pipes: found %d, want at most %d", peak.sockets, most.sockets)
+	}
+	if beside != nil {
+		t.Errorf("ordinary request while the crowd's connections are open: %v", beside)
+	}
+	if after != nil {
+		t.Errorf("ordinary request after the crowd: %v", after)
+	}
+}
+
 // TestLargestRequest checks that a request of the greatest legal size is served in calm on small machines, with a length and in chunks.
 func TestLargestRequest(t *testing.T) {
 	for _, size := range []int{48, 88} {
@@ -165,7 +180,7 @@
 }
 
 // press runs a crowd for crowdTime. Each client connects again when its connection ends. The returned function closes the connections that are open.
-func (r *router) press(clients int, act misbehave) (closeAll func()) {
+func (p *process) press(clients int, act misbehave) (closeAll func()) {
 	end := time.Now().Add(crowdTime)
 	var mu sync.Mutex
 	open := make(map[net.Conn]struct{})
@@ -173,7 +188,7 @@
 	for client := range clients {
 		running.Go(func() {
 			for try := 0; time.Now().Before(end); try++ {
-				conn, err := dial(r.callers)
+				conn, err := dial(p.callers)
 				if err != nil {
 					time.Sleep(10 * time.Millisecond)
 					continue
@@ -263,7 +278,15 @@
 
 // sendChunks sends a request with a chunked body, without the last chunk.
 func sendChunks(conn net.Conn, id string, bytes, chunkBytes int) error {
-	if err := write(conn, requestHead("POST", "/slow/", "right", id)+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+	return sendChunksAfter(conn, requestHead("POST", "/slow/", "right", id)+"Transfer-Encoding: chunked\r\n\r\n", bytes, chunkBytes)
+}
+
+func sendEndlessChunks(conn net.Conn, head string, chunkBytes int) error {
+	return sendChunksAfter(conn, head, endless, chunkBytes)
+}
+
+func sendChunksAfter(conn net.Conn, head string, bytes, chunkBytes int) error {
+	if err := write(conn, head); err != nil {
 		return err
 	}
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("b", chunkBytes))
--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -1,7 +1,6 @@
 package crowd_test
 
 import (
-	"bufio"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -11,16 +10,12 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"vanillapond/internal/testport"
 	"vanillapond/platform"
 	"vanillapond/platform/platformtest"
 )
@@ -37,34 +32,11 @@
 
 // router is a router process.
 type router struct {
-	process        *exec.Cmd
-	callers, ready string
-	// done is closed when the process has ended.
-	done chan struct{}
+	*process
+	ready string
 }
 
-// programFile builds the program once.
-var programFile = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "crowd")
-	if err != nil {
-		return "", err
-	}
-	file := filepath.Join(folder, "vanillapond")
-	if out, err := exec.Command("go", "build", "-o", file, "../cmd/vanillapond").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build: %w\n%s", err, out)
-	}
-	return file, nil
-})
-
-func TestMain(m *testing.M) {
-	status := m.Run()
-	if file, err := programFile(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(file))
-	}
-	os.Exit(status)
-}
-
-func configuration() platform.Configuration {
+func routerConfiguration() platform.Configuration {
 	return platform.Configuration{
 		Version: 1,
 		Routes: []platform.Route{
@@ -80,24 +52,15 @@
 // startRouter starts a process with so much memory, and waits until it is ready.
 func startRouter(t *testing.T, memory int) *router {
 	t.Helper()
-	program, err := programFile()
-	if err != nil {
-		t.Fatal(err)
-	}
 	store, duties, server := platformtest.NewStore(), platformtest.NewDuties(), httptest.NewServer(http.HandlerFunc(serve))
 	t.Cleanup(store.Close)
 	t.Cleanup(duties.Close)
 	t.Cleanup(server.Close)
-	store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration())
+	store.Put(platform.OperatorTable, platform.ConfigurationKey, routerConfiguration())
 	store.Put(platform.ServersTable, "i-1", platform.Server{
 		Service: "s", Address: server.Listener.Addr().String(), Domain: "a", State: platform.ServerReady, Slots: 64, StartedUnixMS: 1,
 	})
-	addresses := [3]string{}
-	for index := range addresses {
-		if addresses[index], err = testport.Address(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	addresses := freeAddresses(t, 3)
 	settings := filepath.Join(t.TempDir(), "settings")
 	content := platformtest.Settings(platformtest.SettingsConfig{
 		Process: "front-a", CallersAddress: addresses[0], ReadyAddress: addresses[1],
@@ -109,27 +72,7 @@
 	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r := &router{process: exec.Command(program, "router", "--settings", settings), callers: addresses[0], ready: addresses[1], done: make(chan struct{})}
-	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.process.Stdout, r.process.Stderr = log, log
-	if err := r.process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		_ = r.process.Wait()
-		close(r.done)
-	}()
-	t.Cleanup(func() {
-		_ = r.process.Process.Signal(syscall.SIGKILL)
-		<-r.done
-		if content, err := os.ReadFile(log.Name()); t.Failed() && err == nil {
-			t.Logf("end of the log: %s", content[max(0, len(content)-4000):])
-		}
-		_ = log.Close()
-	})
+	r := &router{process: start(t, nil, addresses[0], "router", "--settings", settings), ready: addresses[1]}
 	for end := time.Now().Add(readyTimeout); !r.isReady(); time.Sleep(watchInterval) {
 		if time.Now().After(end) {
 			t.Fatalf("not ready within %v", readyTimeout)
@@ -161,39 +104,13 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// isAlive reports whether the process still runs.
-func (r *router) isAlive() bool {
-	select {
-	case <-r.done:
-		return false
-	default:
-		return true
-	}
-}
-
-// ordinaryRequest sends a small request. Like an ordinary caller it tries again, on a new connection, after a refusal that promises that the request did
-// not run, and after a connection that was closed.
+// ordinaryRequest sends a small request.
 func (r *router) ordinaryRequest() error {
 	body := strings.Repeat("ordinary ", 200)
-	last := fmt.Errorf("not sent")
-	for end, try := time.Now().Add(ordinaryTimeout), 0; time.Now().Before(end) && r.isAlive(); try++ {
+	return r.keepTrying(func(try int) (status int, got string, err error) {
 		request := requestHead("POST", "/p/", "right", "ordinary-"+strconv.Itoa(try)) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-		status, got, err := r.roundTrip(func(conn net.Conn) error { return write(conn, request) })
-		if err == nil && status == http.StatusOK {
-			if want := digestOf(body); got != want {
-				return fmt.Errorf("found body %q, want %q", got, want)
-			}
-			return nil
-		}
-		if last = err; err == nil {
-			last = fmt.Errorf("found status %d: %s", status, got)
-			if status != http.StatusServiceUnavailable && status != http.StatusRequestTimeout {
-				return last
-			}
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return last
+		return r.roundTrip(func(conn net.Conn) error { return write(conn, request) })
+	}, digestOf(body))
 }
 
 // serveLargest sends a request whose body is maxBodyBytes long.
@@ -207,32 +124,3 @@
 	}
 	return nil
 }
-
-// roundTrip sends a request on a new connection and returns the response.
-func (r *router) roundTrip(send func(net.Conn) error) (status int, body string, err error) {
-	conn, err := dial(r.callers)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(ordinaryTimeout))
-	if err := send(conn); err != nil {
-		return 0, "", err
-	}
-	return readResponse(bufio.NewReader(conn))
-}
-
-func readResponse(reader *bufio.Reader) (status int, body string, err error) {
-	response, err := http.ReadResponse(reader, nil)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(content), err
-}
-
-func digestOf(body string) string {
-	digest := sha256.Sum256([]byte(body))
-	return hex.EncodeToString(digest[:])
-}
--- a/crowd/usage_test.go
+++ b/crowd/usage_test.go
@@ -25,7 +25,7 @@
 }
 
 // watch samples what the process uses until the returned function is called.
-func (r *router) watch() (stop func() usage) {
+func (p *process) watch() (stop func() usage) {
 	end, peak := make(chan struct{}), make(chan usage)
 	go func() {
 		var most usage
@@ -34,16 +34,16 @@
 		for {
 			select {
 			case <-end:
-				most.residentKiB = max(most.residentKiB, r.statusKiB("VmHWM"))
+				most.residentKiB = max(most.residentKiB, p.statusKiB("VmHWM"))
 				most.memoryKiB = max(most.memoryKiB, most.residentKiB)
 				peak <- most
 				return
 			case <-ticker.C:
 			}
-			resident, unread := r.statusKiB("VmRSS"), r.unreadKiB()
+			resident, unread := p.statusKiB("VmRSS"), p.unreadKiB()
 			most.memoryKiB = max(most.memoryKiB, resident+unread)
 			most.residentKiB, most.unreadKiB = max(most.residentKiB, resident), max(most.unreadKiB, unread)
-			most.sockets = max(most.sockets, r.sockets())
+			most.sockets = max(most.sockets, p.sockets())
 		}
 	}()
 	return func() usage {
@@ -53,8 +53,8 @@
 }
 
 // statusKiB returns a size from the process's status, 0 if the process has ended.
-func (r *router) statusKiB(name string) int {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.process.Process.Pid))
+func (p *process) statusKiB(name string) int {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
 	if err != nil {
 		return 0
 	}
@@ -67,8 +67,8 @@
 	return 0
 }
 
-func (r *router) sockets() int {
-	folder := fmt.Sprintf("/proc/%d/fd/", r.process.Process.Pid)
+func (p *process) sockets() int {
+	folder := fmt.Sprintf("/proc/%d/fd/", p.command.Process.Pid)
 	entries, err := os.ReadDir(folder)
 	if err != nil {
 		return 0
@@ -84,9 +84,9 @@
 }
 
 // unreadKiB returns the bytes that wait to be read at the callers' port. The line of the listening socket counts connections, not bytes.
-func (r *router) unreadKiB() int {
+func (p *process) unreadKiB() int {
 	const listening = "0A"
-	_, port, _ := strings.Cut(r.callers, ":")
+	_, port, _ := strings.Cut(p.callers, ":")
 	number, _ := strconv.Atoi(port)
 	local := fmt.Sprintf("0100007F:%04X", number)
 	file, err := os.Open("/proc/net/tcp")
