Bodies of requests are bounded together

What callers saw: a router of 64 MiB that gets 30 bodies of 4 MiB grows to 138 to 200 MiB, so that its machine ends it and all its requests with it.

Cause: readBody limits one body, not their sum. It allocates a stated length at once and lets chunks grow by copies, reads also for callers without a key, keeps an unfinished body for the caller's time or 30 s, and sends a copy of it.

Change: package body reads into blocks that grow with what has arrived, each held in the account before it is allocated; a body that has to go gets 503 with Retry-After, as not run, and its blocks are used again. The key and the route are checked first, and a body is awaited no longer than its route allows. Blocks are sent without a copy, and released once a stream that can't go on elsewhere has begun. A caller of a refused request can't keep the connection by the rest of its body.

--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -51,7 +51,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the blocks of the body in order; they are not modified.
+	Body [][]byte
 	// ID is the request id, which the server returns in the response header IDHeader.
 	ID       string
 	IDHeader string
--- a/internal/connection/direct/direct_test.go
+++ b/internal/connection/direct/direct_test.go
@@ -66,7 +66,7 @@
 
 func newRequest(id string) *direct.Request {
 	return &direct.Request{
-		Method: http.MethodPost, Target: "/a/b?c", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/a/b?c", Host: "h.example", Header: http.Header{"X-Id": {id}}, Body: [][]byte{[]byte("bo"), []byte("dy")},
 		ID: id, IDHeader: "X-Id", RefusalHeaders: []string{"X-Refused"},
 	}
 }
@@ -369,7 +369,7 @@
 	}
 	p := newPool(serve(t, first, second))
 	long := newRequest("1")
-	long.Body = []byte(strings.Repeat("x", 16<<20))
+	long.Body = [][]byte{[]byte(strings.Repeat("x", 16<<20))}
 	response, err := p.Send(t.Context(), long)
 	is.NoErr(err)
 	body, err := io.ReadAll(response)
@@ -431,7 +431,7 @@
 		}
 		p := direct.New(direct.Config{Address: "127.0.0.1:1", DialTimeout: time.Minute, Dial: dial})
 		long := newRequest("1")
-		long.Body = []byte(strings.Repeat("x", 1<<20))
+		long.Body = [][]byte{[]byte(strings.Repeat("x", 1<<20))}
 		_, err := p.Send(ctx, long)
 		var failure *direct.Error
 		is.True(errors.As(err, &failure))
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -133,9 +133,9 @@
 }
 
 func (r *Response) exchange(request *Request) error {
-	message := encode(request)
+	message, rest := encode(request)
 	r.conn.carry(request.ID)
-	if len(request.Body) <= maxInlineBody {
+	if len(rest) == 0 {
 		_, err := r.conn.Write(message)
 		close(r.written)
 		if err != nil {
@@ -147,25 +147,52 @@
 		go func() {
 			defer close(r.written)
 			// A write error also shows as a read error, unless the server responded before it closed the connection.
-			_, err := conn.Write(message)
-			r.writeFailed = err != nil
+			r.writeFailed = writeAll(conn, message, rest) != nil
 		}()
 	}
 	return r.readHead(request)
 }
 
-// encode returns the bytes of a request. It adds the Host and Content-Length headers, which request.Header must not contain.
-func encode(request *Request) []byte {
-	var message bytes.Buffer
-	message.Grow(len(request.Body) + maxInlineBody/2)
-	message.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	_ = request.Header.Write(&message)
-	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
-		message.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+// writeAll writes a message and the blocks that follow it.
+func writeAll(conn io.Writer, message []byte, rest [][]byte) error {
+	if _, err := conn.Write(message); err != nil {
+		return err
 	}
-	message.WriteString("\r\n")
-	message.Write(request.Body)
-	return message.Bytes()
+	for _, block := range rest {
+		if _, err := conn.Write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encode returns the bytes of a request, without those blocks of its body that are not copied. It adds the Host and Content-Length headers, which
+// request.Header must not contain.
+func encode(request *Request) (message []byte, rest [][]byte) {
+	length := 0
+	for _, block := range request.Body {
+		length += len(block)
+	}
+	// A small first block shares a packet with the head.
+	inline := 0
+	switch {
+	case length <= maxInlineBody:
+		inline = len(request.Body)
+	case len(request.Body[0]) <= maxInlineBody:
+		inline = 1
+	}
+	var buffer bytes.Buffer
+	buffer.Grow(min(length, maxInlineBody) + maxInlineBody/2)
+	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
+	_ = request.Header.Write(&buffer)
+	if length > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+	}
+	buffer.WriteString("\r\n")
+	for _, block := range request.Body[:inline] {
+		buffer.Write(block)
+	}
+	return buffer.Bytes(), request.Body[inline:]
 }
 
 // readHead reads response heads until one belongs to the request; it skips interim responses and responses to other requests.
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -24,6 +24,8 @@
 	awaitingHeader phase = iota
 	handlingRequest
 	idle
+	// hijacked means that the handler uses the connection for another protocol.
+	hijacked
 )
 
 // trackState updates the phase of a connection; it is the server's ConnState hook.
@@ -40,6 +42,8 @@
 		tracked.phase.Store(int32(handlingRequest))
 	case http.StateIdle:
 		tracked.phase.Store(int32(idle))
+	case http.StateHijacked:
+		tracked.phase.Store(int32(hijacked))
 	default:
 	}
 }
@@ -58,7 +62,7 @@
 		limit = c.limits().IdleTimeout
 		c.idleSince.Store(&now)
 		c.phase.Store(int32(awaitingHeader))
-	case handlingRequest:
+	case handlingRequest, hijacked:
 	}
 	if limit > 0 {
 		deadline = now.Add(limit)
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -20,6 +20,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// drainTimeout limits how long net/http may go on to read a body whose handler has returned, so that the connection can be reused.
+	drainTimeout = time.Second
 )
 
 // Config configures a Listener.
@@ -85,7 +87,7 @@
 		done:       make(chan struct{}),
 		incomplete: incomplete,
 	}
-	l.server.Handler = incomplete.track(l.closeAfterResponse(recoverPanics(config.Handler, config.OnPanic)))
+	l.server.Handler = incomplete.track(l.closeAfterResponse(limitDrain(recoverPanics(config.Handler, config.OnPanic))))
 	go l.serve()
 	return l, nil
 }
--- a/internal/request/forward/authorize.go
+++ b/internal/request/forward/authorize.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
+	"vanillapond/internal/body"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/version/routes"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
@@ -33,47 +33,35 @@
 	return nil
 }
 
-// readBody reads the complete body into memory, so that the request can be retried.
+// readBody reads the complete body into memory, so that the request can be retried. A body that arrives after the request's deadline is of no use.
 func (c *call) readBody(limits platform.Limits) *refusal {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
+	config := body.Config{Limit: limits.BodyBytes, Deadline: c.arrived.Add(c.timeout()), Account: c.forwarder.config.Holdings}
+	if config.Limit <= 0 {
+		config.Limit = defaultMaxBody
 	}
-	if c.request.ContentLength > limit {
-		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
-	}
-	if c.request.ContentLength == 0 {
-		return nil
-	}
-	// A body that arrives after the deadline is of no use. The read deadline is cleared once the body is read, because net/http then reads from the
-	// connection to detect that the caller disconnects. Otherwise it stays, so that net/http does not wait for the rest.
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.arrived.Add(c.callerTimeout()))
 	var err error
-	if c.request.ContentLength > 0 {
-		c.body = make([]byte, c.request.ContentLength)
-		_, err = io.ReadFull(c.request.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
-	}
-	if err == nil {
-		// net/http detects that the caller disconnects only after the body was read to EOF.
-		_, err = c.request.Body.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			_ = control.SetReadDeadline(time.Time{})
-			return nil
+	c.body, err = body.Read(c.writer, c.request, config)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, holdings.ErrNoRoom):
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonNoRoom, retryAfter: c.forwarder.config.Holdings.RetryAfter(),
+			closesConnection: true, ignoresContext: true,
 		}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	case errors.Is(err, body.ErrLate):
 		// net/http ends the context of all requests of a connection with the first error of reading from it.
 		return &refusal{status: http.StatusRequestTimeout, reason: "body came too late", closesConnection: true, ignoresContext: true}
-	}
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+	case errors.Is(err, body.ErrTooLarge):
 		return deny(http.StatusRequestEntityTooLarge, "body is larger than allowed")
+	default:
+		return deny(http.StatusBadRequest, "body is not whole")
 	}
-	return deny(http.StatusBadRequest, "body is not whole")
 }
 
+// reasonNoRoom is the reason of requests whose body had to make room for those of others.
+const reasonNoRoom = "no room for the body"
+
 // defaultMaxBody bounds the body in bytes if the configuration sets no limit.
 const defaultMaxBody = 8 << 20
 
@@ -132,11 +120,10 @@
 	return defaultTimeout
 }
 
-// setDeadline sets the deadline from the caller's timeout and the route's.
-func (c *call) setDeadline() {
-	remaining := c.callerTimeout()
+// timeout returns the shorter of the caller's timeout and the route's.
+func (c *call) timeout() time.Duration {
 	if timeout := c.route.Timeout.Duration(); timeout > 0 {
-		remaining = min(remaining, timeout)
+		return min(c.callerTimeout(), timeout)
 	}
-	c.deadline = c.arrived.Add(remaining)
+	return c.callerTimeout()
 }
--- a/internal/request/forward/digest.go
+++ b/internal/request/forward/digest.go
@@ -11,13 +11,15 @@
 
 // requestDigest returns a hash that is the same for equal requests with the same key. Each of the first three parts is
 // followed by a zero byte, so that requests that differ only in the boundaries of these parts get different hashes.
-func requestDigest(method, target, key string, body []byte) uint64 {
+func requestDigest(method, target, key string, body [][]byte) uint64 {
 	hash := xxhash.New()
 	for _, part := range []string{method, target, key} {
 		_, _ = hash.WriteString(part)
 		_, _ = hash.Write([]byte{0})
 	}
-	_, _ = hash.Write(body)
+	for _, block := range body {
+		_, _ = hash.Write(block)
+	}
 	return hash.Sum64()
 }
 
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -9,8 +9,10 @@
 	"strconv"
 	"time"
 
+	"vanillapond/internal/body"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
@@ -98,6 +100,8 @@
 	OnInvalidPause, OnInvalidLimit, OnInvalidLoad func(server ident.Endpoint, err error)
 	// OnFalseLoad receives each false load header of a server; nil is not called.
 	OnFalseLoad func(server ident.Endpoint, finding servermodel.Finding)
+	// Holdings bounds what all callers hold; nil bounds nothing.
+	Holdings *holdings.Account
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -203,7 +207,7 @@
 	service  ident.Pool
 	customer *platform.Customer
 	key      string
-	body     []byte
+	body     *body.Body
 	prompt   platform.Prompt
 	query    placement.Query
 	digest   uint64
@@ -265,6 +269,7 @@
 		c.record.Duration = time.Since(c.arrived)
 		f.config.Observe(c.record)
 	}()
+	defer func() { c.body.Release() }()
 	c.serve()
 	if c.record.Outcome == outcomeTruncated || !c.responded {
 		// Aborts the connection without the end of the response, so that the caller can't take it for complete. Where nothing was written, net/http would
@@ -317,13 +322,17 @@
 	if refused := c.checkHeaders(limits); refused != nil {
 		return refused
 	}
+	// A request that is not authorized holds no room for its body.
+	if refused := c.authorize(); refused != nil {
+		return refused
+	}
 	if refused := c.readBody(limits); refused != nil {
 		return refused
 	}
 	if refused := c.authorize(); refused != nil {
 		return refused
 	}
-	c.setDeadline()
+	c.deadline = c.arrived.Add(c.timeout())
 	c.record.Priority = table.Priority(c.route, c.customer)
 	c.prepareQuery()
 	if c.customer != nil {
@@ -359,7 +368,7 @@
 		c.query.Parts = hashPrefixes(prompt.Parts)
 		c.query.PriorityLevel = c.engineLevel(false)
 	}
-	c.digest = requestDigest(c.request.Method, c.request.RequestURI, c.key, c.body)
+	c.digest = requestDigest(c.request.Method, c.request.RequestURI, c.key, c.body.Blocks())
 }
 
 // expectedOutput returns the expected length of the response in tokens; without a hint this is the maximum.
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -14,6 +14,8 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/holdings"
+	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/internal/request/admission"
@@ -51,8 +53,10 @@
 	findings     map[servermodel.Finding]int
 	invalidLoads int
 	shares       *fairshare.Controller
-	mu           sync.Mutex
-	url          string
+	// holdings bounds what the callers hold.
+	holdings *holdings.Account
+	mu       sync.Mutex
+	url      string
 }
 
 // tier returns a pointer to a tier.
@@ -168,6 +172,7 @@
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
 	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: harnessStart, shares: fairshare.New()}
+	h.holdings = holdings.New(holdings.Config{Limits: holdings.NewLimits(8<<20, 0)})
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
 			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second})
@@ -191,7 +196,7 @@
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		PeersCurrent:   h.arePeersCurrent,
+		PeersCurrent: h.arePeersCurrent, Holdings: h.holdings,
 		OnInvalidPause: h.recordInvalidPause, OnInvalidLoad: h.recordInvalidLoad, OnFalseLoad: h.recordFalseLoad, Origins: &h.origin,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
@@ -200,9 +205,12 @@
 		MaxKeyAge:  func() time.Duration { return 4 * time.Second },
 		MaxDenyAge: func() time.Duration { return 2 * time.Second },
 	})
-	front := httptest.NewServer(forwarder)
-	t.Cleanup(front.Close)
-	h.url = front.URL
+	front, err := listener.Start(t.Context(), listener.Config{Address: "127.0.0.1:0", Handler: forwarder})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { front.Drain(t.Context()) })
+	h.url = "http://" + front.Address()
 	return h
 }
 
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -105,7 +105,7 @@
 
 // mayRetry reports whether the request may be sent to another server after an attempt with this result.
 func (c *call) mayRetry(result attemptResult) bool {
-	if c.serversTried >= max(c.route.MaxServers, 1) || c.request.Context().Err() != nil {
+	if c.serversTried >= max(c.route.MaxServers, 1) || c.request.Context().Err() != nil || c.body.IsReleased() {
 		return false
 	}
 	switch result {
@@ -240,7 +240,7 @@
 	defer cancel()
 	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
-		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body,
+		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body.Blocks(),
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(), IdleSince: c.serverFailedAt,
 		Confirm: func() bool { return c.confirm(server, hasTurn) },
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -83,6 +83,7 @@
 		if !r.started {
 			r.started = true
 			c.beginStream(r.server)
+			c.releaseSentBody(r.response)
 			c.firstEventAt = now
 			r.attempt.FirstEvent(now)
 			c.recordCapacityEvent(now)
@@ -156,3 +157,10 @@
 	}
 	c.lastEventAt = now
 }
+
+// releaseSentBody releases the body of a stream that can't go on at another server, once it was sent whole.
+func (c *call) releaseSentBody(response *direct.Response) {
+	if !c.route.Resumable && response.Written() {
+		c.body.Release()
+	}
+}
--- a/internal/request/forward/wait.go
+++ b/internal/request/forward/wait.go
@@ -47,7 +47,7 @@
 func (c *call) waitingRequest() waiting.Request {
 	work := c.forwarder.config.Balancer(c.service).ExpectedWork(c.query)
 	return waiting.Request{
-		Priority: c.priority(), StartBy: c.latestStart(work), Work: max(work.ToFirst, time.Millisecond), BodyBytes: len(c.body),
+		Priority: c.priority(), StartBy: c.latestStart(work), Work: max(work.ToFirst, time.Millisecond), BodyBytes: c.body.Len(),
 	}
 }
 
--- /dev/null
+++ b/internal/role/router/holdings.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"vanillapond/internal/process/holdings"
+	"vanillapond/platform"
+)
+
+// callerLimits returns the limits of what callers hold, from the memory and the sockets of the process.
+func callerLimits(settings platform.Settings) holdings.Limits {
+	return holdings.NewLimits(holdings.Bytes(settings.MemoryLimit), settings.MaxSockets)
+}
+
+func (r *Router) newHoldings(limits holdings.Limits) *holdings.Account {
+	return holdings.New(holdings.Config{Limits: limits, Observe: r.observeHolding})
+}
+
+// observeHolding counts and logs what had to go, or got no room.
+func (r *Router) observeHolding(event holdings.Event) {
+	name := "caller_dismissed"
+	if event.Refused {
+		name = "caller_refused"
+	}
+	r.metrics.holdings.ended.WithLabelValues(string(event.Kind), name).Inc()
+	r.journal.LogKind(name+"_"+string(event.Kind), name, "kind", event.Kind, "peer", event.Peer, "held_bytes", int64(event.Held),
+		"age_ms", event.Age.Milliseconds(), "still_ms", event.Still.Milliseconds())
+}
+
+// holdingMetrics are the metrics of what callers hold.
+type holdingMetrics struct{ ended *prometheus.CounterVec }
+
+func newHoldingMetrics(r *Router, registry prometheus.Registerer) holdingMetrics {
+	m := holdingMetrics{ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "vanillapond_router_caller_limits_total", Help: "Connections, heads and bodies that had to go or got no room, by kind and event of the log.",
+	}, []string{"kind", "event"})}
+	registry.MustRegister(m.ended)
+	for name, gauge := range map[string]struct {
+		help string
+		read func() float64
+	}{
+		"caller_bytes":             {"Bytes that callers hold.", func() float64 { return float64(r.callers.Bytes()) }},
+		"caller_bytes_limit":       {"Bytes that callers may hold.", func() float64 { return float64(r.callers.Limits().Bytes) }},
+		"caller_connections":       {"Open connections of callers.", func() float64 { return float64(r.callers.Connections()) }},
+		"caller_connections_limit": {"Connections that callers may have open.", func() float64 { return float64(r.callers.Limits().Connections) }},
+	} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: gauge.help}, gauge.read))
+	}
+	return m
+}
--- a/internal/role/router/metrics.go
+++ b/internal/role/router/metrics.go
@@ -40,6 +40,7 @@
 	healthChanges        *prometheus.CounterVec
 	waits                waitMetrics
 	balance              balanceMetrics
+	holdings             holdingMetrics
 }
 
 var retriesRemainingDesc = prometheus.NewDesc("vanillapond_router_repeats_left",
@@ -109,6 +110,7 @@
 	m.registry.MustRegister(retryBudgetCollector{r}, speedCollector{r}, serverHealthCollector{r}, shareCollector{r})
 	m.waits = newWaitMetrics(r, m.registry)
 	m.balance = newBalanceMetrics(m.registry)
+	m.holdings = newHoldingMetrics(r, m.registry)
 	for name, read := range r.gauges() {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "vanillapond_router_" + name, Help: name}, read))
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -20,6 +20,7 @@
 	"vanillapond/internal/connection/socket"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/follow"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/journal"
 	"vanillapond/internal/process/lease"
 	"vanillapond/internal/process/listener"
@@ -74,8 +75,10 @@
 	callerListener  *listener.Listener
 	readyListener   *listener.Listener
 	metricsListener *listener.Listener
-	gossip          *gossip
-	origins         *origins
+	// callers bounds what callers hold.
+	callers *holdings.Account
+	gossip  *gossip
+	origins *origins
 	// evacuated holds the failure domains that the operator has evacuated; only the loop that applies the operator's table uses it, and the
 	// set is replaced, never modified.
 	evacuated map[ident.FailureDomain]bool
@@ -135,11 +138,13 @@
 	r.retryBudgets = newPerService(r.newRetryBudget)
 	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
+	r.callers = r.newHoldings(callerLimits(settings))
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.countDroppedLine})
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
 		"domain", settings.Domain, "callers", settings.CallersAddress, "ready", settings.ReadyAddress, "store", settings.Store.Address,
-		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit)
+		"duties", settings.Duties.Address, "memory_bytes", settings.MemoryLimit, "caller_bytes", int64(r.callers.Limits().Bytes),
+		"caller_connections", r.callers.Limits().Connections)
 	r.origins = r.newOrigins()
 	r.softwareChanged = make(chan struct{}, 1)
 	r.pendingSuspects = make(chan uint64, maxPendingSuspects)
@@ -241,6 +246,7 @@
 		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"), OnFalseLoad: r.recordFalseLoad,
+		Holdings: r.callers,
 		PeersCurrent: func() bool {
 			return r.peerFreshness.mostlyCurrent(clock.Boot(), overdueAge(r.bounds()))
 		},
