Connections and heads of requests are bounded together

What callers saw: 1,000 idle connections take 1,010 sockets of the 500 that a router's settings leave it, so that none are left for servers, peers and the store; 700 heads of short fields within the limit of 16 KiB take 217 MiB of 64, and 120 of 60,000 bytes 143 MiB.

Cause: nothing bounds connections; a head is bounded by itself only, and by its bytes, while each of its lines takes some 110 bytes as an entry of a map.

Change: the listener holds each connection in the account, with its head as it arrives, the lines counted (below TLS, where they can't be, a factor stands for them; the streams of an HTTP/2 connection hold their heads, with less unread data each). A connection that carries a request stays. An idle one, or one whose head arrives, makes way for new ones: closed, or told 503 with Retry-After while its own head has no room. The listeners for readiness and metrics have an account of their own, so that callers can't keep probes out. Metrics, and a log line for each.

TestConnectionsAreBounded, TestHeadsAreBounded, TestNoRoomForHead and TestStreamsAreBounded use the new account.

--- a/internal/process/listener/conn.go
+++ b/internal/process/listener/conn.go
@@ -29,29 +29,42 @@
 	})
 }
 
-// deadlineListener is a net.Listener whose connections have a write timeout and read timeouts that may change at run time.
+// deadlineListener is a net.Listener whose connections have a write timeout and read timeouts that may change at run time, and are counted in an
+// account.
 type deadlineListener struct {
 	net.Listener
-	timeout time.Duration
-	limits  func() Limits
+	config Config
 	// incomplete is shared by all connections.
 	incomplete *incompleteResponses
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		accepted := &deadlineConn{
+			Conn: conn, timeout: l.config.WriteTimeout, limits: l.config.Limits, incomplete: l.incomplete, encrypted: l.config.TLS != nil,
+			onHeadRefused: l.config.OnHeadRefused,
+		}
+		if accepted.hold(l.config.Holdings) {
+			return accepted, nil
+		}
+		_ = conn.Close()
 	}
-	return &deadlineConn{Conn: conn, timeout: l.timeout, limits: l.limits, incomplete: l.incomplete}, nil
 }
 
 type deadlineConn struct {
 	net.Conn
 	timeout time.Duration
-	// limits is nil if the server's own timeouts apply.
+	// limits is nil if the server's own limits apply.
 	limits func() Limits
+	// encrypted means that the bytes of the connection are those of TLS.
+	encrypted bool
+	// onHeadRefused is Config.OnHeadRefused.
+	onHeadRefused func(peer string, status, bytes int)
 	// phase holds a value of type phase.
 	phase atomic.Int32
 	// idleSince is when the connection became idle; nil while it is in use.
@@ -60,6 +73,7 @@
 	writeFailed atomic.Bool
 	// incomplete is nil if responses are not tracked.
 	incomplete *incompleteResponses
+	held
 	// handlerReturned means that the handler of the last request without chunks returned; net/http may still have bytes to write.
 	handlerReturned atomic.Bool
 }
@@ -74,6 +88,7 @@
 // Close implements net.Conn. Once the handler has returned, net/http calls it after it has written the whole response.
 func (c *deadlineConn) Close() error {
 	c.endResponse()
+	c.holding.Close()
 	return c.Conn.Close()
 }
 
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,9 +14,13 @@
 
 	"github.com/matryer/is"
 
+	"vanillapond/internal/process/certificate"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/listener"
 )
 
+const plainRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
 func dial(t *testing.T, address string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -39,6 +46,113 @@
 	return response.StatusCode, response.Header, string(content)
 }
 
+// isOpen reports whether the other side keeps a connection open for a short time.
+func isOpen(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, condition string, check func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !check(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("condition not met within 10 s: %s", condition)
+		}
+	}
+}
+
+// TestConnectionsAreBounded guards against idle connections that take all descriptors, and against refusing those that come while idle ones are open.
+func TestConnectionsAreBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 16
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	release := make(chan struct{})
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+		greet(w, r)
+	})})
+	var conns []net.Conn
+	running := dial(t, address)
+	_, err := io.WriteString(running, "GET /wait HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	is.NoErr(err)
+	for range 4 * limit {
+		conn := dial(t, address)
+		status, _, _ := exchange(conn, plainRequest)
+		is.Equal(status, http.StatusOK)
+		conns = append(conns, conn)
+		is.True(account.Connections() <= limit)
+	}
+	open := 0
+	for _, conn := range conns {
+		if isOpen(conn) {
+			open++
+		}
+	}
+	is.True(open > 0 && open < limit)
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(running), nil)
+	is.NoErr(err) // A connection with a request stays.
+	_ = response.Body.Close()
+	for _, conn := range append(conns, running) {
+		_ = conn.Close()
+	}
+	eventually(t, "nothing is held", func() bool { return account.Connections() == 0 && account.Bytes() == 0 })
+}
+
+// TestHeadsAreBounded guards against unfinished heads that hold more than all callers may.
+func TestHeadsAreBounded(t *testing.T) {
+	t.Parallel()
+	const allowed = 8 << 20
+	for name, fields := range map[string]string{
+		"one field": "X-Long: " + strings.Repeat("y", 30<<10), "short fields": strings.Repeat("a:\r\n", 2000), "empty": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 500}})
+			address := serve(t, listener.Config{Handler: greet, Holdings: account})
+			for range 400 {
+				conn := dial(t, address)
+				_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h.example\r\n"+fields)
+				is.True(account.Bytes() <= allowed)
+			}
+			status, _, body := exchange(dial(t, address), plainRequest)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "hello")
+		})
+	}
+}
+
+// TestNoRoomForHead checks the response while all room is taken by requests that run.
+func TestNoRoomForHead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const allowed, each = 4 << 20, 60 << 10
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 10}})
+	address := serve(t, listener.Config{Handler: greet, Holdings: account})
+	var bodies []*holdings.Holding
+	for range allowed/each - 1 {
+		body, err := account.Open(holdings.Body, "", each, func() {})
+		is.NoErr(err)
+		is.NoErr(body.Settle())
+		bodies = append(bodies, body)
+	}
+	status, header, _ := exchange(dial(t, address), "GET / HTTP/1.1\r\nHost: h.example\r\nX-Long: "+strings.Repeat("y", 60<<10))
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+	for _, body := range bodies {
+		body.Close()
+	}
+	status, _, _ = exchange(dial(t, address), plainRequest)
+	is.Equal(status, http.StatusOK)
+}
+
 // TestUnreadBodyDoesNotKeepConnection guards against callers that keep a goroutine by a short body without its end, once its handler has returned.
 func TestUnreadBodyDoesNotKeepConnection(t *testing.T) {
 	t.Parallel()
@@ -50,3 +164,55 @@
 	_, err := conn.Read(make([]byte, 1))
 	is.True(err != nil && !strings.Contains(err.Error(), "timeout")) // The other side has closed it.
 }
+
+// TestStreamsAreBounded checks that the heads of the requests of one HTTP/2 connection are bounded, and that a refused one is told when to come back.
+func TestStreamsAreBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	files := newFiles(t)
+	files.Authority = ""
+	config, err := certificate.NewServerConfig(files, "h2")
+	is.NoErr(err)
+	const allowed = 4 << 20
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 10}})
+	release := make(chan struct{})
+	address := serve(t, listener.Config{TLS: config, Holdings: account, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/first" {
+			<-release
+		}
+	})})
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: true}}
+	t.Cleanup(client.CloseIdleConnections)
+	// The others find an open connection.
+	first, err := client.Get("https://" + address + "/first")
+	is.NoErr(err)
+	_ = first.Body.Close()
+	statuses := make(chan string, 150)
+	for range 150 {
+		go func() {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+address, nil)
+			if err != nil {
+				statuses <- err.Error()
+				return
+			}
+			request.Header.Set("X-Long", strings.Repeat("y", 50<<10))
+			response, err := client.Do(request)
+			if err != nil {
+				statuses <- err.Error()
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- fmt.Sprint(response.StatusCode, response.Header.Get("Retry-After") != "")
+		}()
+	}
+	// Some are refused at once; those that run end only then.
+	is.Equal(<-statuses, "503 true")
+	is.True(account.Bytes() <= allowed)
+	close(release)
+	counts := map[string]int{"503 true": 1}
+	for range 149 {
+		counts[<-statuses]++
+	}
+	is.True(counts["200 false"] >= 20)
+	is.Equal(counts["200 false"]+counts["503 true"], 150)
+}
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -28,20 +28,20 @@
 	hijacked
 )
 
-// trackState updates the phase of a connection; it is the server's ConnState hook.
+// trackState updates the phase of a connection and what it holds; it is the server's ConnState hook.
 func trackState(conn net.Conn, state http.ConnState) {
-	if plain := plainConn(conn); plain != nil && state == http.StateIdle {
-		plain.endResponse()
-	}
-	tracked, ok := conn.(*deadlineConn)
-	if !ok {
+	tracked := plainConn(conn)
+	if tracked == nil {
 		return
 	}
 	switch state {
 	case http.StateActive:
 		tracked.phase.Store(int32(handlingRequest))
+		tracked.keepHeld()
 	case http.StateIdle:
+		tracked.endResponse()
 		tracked.phase.Store(int32(idle))
+		tracked.releaseHead()
 	case http.StateHijacked:
 		tracked.phase.Store(int32(hijacked))
 	default:
@@ -51,7 +51,7 @@
 // SetReadDeadline implements net.Conn; it replaces the server's fixed timeouts by the limits in force now.
 func (c *deadlineConn) SetReadDeadline(deadline time.Time) error {
 	c.idleSince.Store(nil)
-	if c.limits == nil || deadline.IsZero() {
+	if c.limits == nil || c.encrypted || deadline.IsZero() {
 		return c.Conn.SetReadDeadline(deadline)
 	}
 	now, limit := time.Now(), time.Duration(0)
@@ -74,7 +74,13 @@
 func (c *deadlineConn) Read(buffer []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(buffer)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdle() {
+		if n > 0 {
+			if refused := c.count(buffer[:n]); refused != nil {
+				return 0, refused
+			}
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdle() {
 			return n, err
 		}
 	}
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"vanillapond/internal/process/holdings"
 )
 
 // Limits against slow and large requests.
@@ -22,6 +24,9 @@
 	maxHeaderBytes = 64 << 10
 	// drainTimeout limits how long net/http may go on to read a body whose handler has returned, so that the connection can be reused.
 	drainTimeout = time.Second
+	// streamBuffer and connectionBuffer limit what the callers of one HTTP/2 stream and connection may send before a handler reads it, in bytes.
+	streamBuffer     = 64 << 10
+	connectionBuffer = 256 << 10
 )
 
 // Config configures a Listener.
@@ -39,6 +44,10 @@
 	WriteTimeout time.Duration
 	// Limits returns the limits in force now; nil means that the listener's own apply. They have no effect with TLS.
 	Limits func() Limits
+	// Holdings bounds the connections, and the heads of requests; nil bounds nothing.
+	Holdings *holdings.Account
+	// OnHeadRefused is called when the header of a request is refused before it has arrived completely; may be nil.
+	OnHeadRefused func(peer string, status, bytes int)
 	// OnError is called for errors outside of requests, such as a connection that cannot be accepted; may be nil.
 	OnError func(message string)
 	// OnPanic is called when the handler of a request panicked; may be nil.
@@ -82,12 +91,16 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       config.IdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			HTTP2: &http.HTTP2Config{
+				MaxReceiveBufferPerConnection: connectionBuffer, MaxReceiveBufferPerStream: streamBuffer,
+			},
 		},
-		socket:     deadlineListener{Listener: socket, timeout: config.WriteTimeout, limits: config.Limits, incomplete: incomplete},
+		socket:     deadlineListener{Listener: socket, config: config, incomplete: incomplete},
 		done:       make(chan struct{}),
 		incomplete: incomplete,
 	}
-	l.server.Handler = incomplete.track(l.closeAfterResponse(limitDrain(recoverPanics(config.Handler, config.OnPanic))))
+	handler := holdRequest(config.Holdings, recoverPanics(config.Handler, config.OnPanic))
+	l.server.Handler = incomplete.track(l.closeAfterResponse(handler))
 	go l.serve()
 	return l, nil
 }
--- a/internal/role/router/holdings.go
+++ b/internal/role/router/holdings.go
@@ -7,6 +7,9 @@
 	"vanillapond/platform"
 )
 
+// probeLimits bound what the clients of the listeners for readiness and metrics hold.
+var probeLimits = holdings.Limits{Bytes: 4 << 20, Largest: 1 << 20, Connections: 64}
+
 // callerLimits returns the limits of what callers hold, from the memory and the sockets of the process.
 func callerLimits(settings platform.Settings) holdings.Limits {
 	return holdings.NewLimits(holdings.Bytes(settings.MemoryLimit), settings.MaxSockets)
@@ -27,6 +30,12 @@
 		"age_ms", event.Age.Milliseconds(), "still_ms", event.Still.Milliseconds())
 }
 
+// observeRefusedHead counts and logs a refused header.
+func (r *Router) observeRefusedHead(peer string, status, bytes int) {
+	r.metrics.holdings.ended.WithLabelValues("head", "head_refused").Inc()
+	r.journal.Log("head_refused", "peer", peer, "status", status, "bytes", bytes)
+}
+
 // holdingMetrics are the metrics of what callers hold.
 type holdingMetrics struct{ ended *prometheus.CounterVec }
 
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -75,10 +75,10 @@
 	callerListener  *listener.Listener
 	readyListener   *listener.Listener
 	metricsListener *listener.Listener
-	// callers bounds what callers hold.
-	callers *holdings.Account
-	gossip  *gossip
-	origins *origins
+	// callers bounds what callers hold, and probes what the clients of the other listeners do.
+	callers, probes *holdings.Account
+	gossip          *gossip
+	origins         *origins
 	// evacuated holds the failure domains that the operator has evacuated; only the loop that applies the operator's table uses it, and the
 	// set is replaced, never modified.
 	evacuated map[ident.FailureDomain]bool
@@ -138,7 +138,7 @@
 	r.retryBudgets = newPerService(r.newRetryBudget)
 	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
-	r.callers = r.newHoldings(callerLimits(settings))
+	r.callers, r.probes = r.newHoldings(callerLimits(settings)), r.newHoldings(probeLimits)
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.countDroppedLine})
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
@@ -205,14 +205,14 @@
 	if config.MetricsPort != 0 {
 		address := r.settings.Address + ":" + strconv.Itoa(config.MetricsPort)
 		if r.metricsListener, err = listener.Start(ctx, listener.Config{
-			Address: address, Handler: r.metricsHandler(), OnPanic: onPanic, OnError: onError,
+			Address: address, Handler: r.metricsHandler(), OnPanic: onPanic, OnError: onError, Holdings: r.probes,
 		}); err != nil {
 			r.journal.Log("metrics_unavailable", "address", address, "err", err)
 		}
 	}
 	handler := http.HandlerFunc(r.serveReady)
 	if r.readyListener, err = listener.Start(ctx, listener.Config{
-		Address: r.settings.ReadyAddress, Handler: handler, OnPanic: onPanic, OnError: onError,
+		Address: r.settings.ReadyAddress, Handler: handler, OnPanic: onPanic, OnError: onError, Holdings: r.probes,
 	}); err != nil {
 		return err
 	}
@@ -222,7 +222,7 @@
 	}
 	r.callerListener, err = listener.Start(ctx, listener.Config{
 		Socket: callerSocket, Handler: r.forwarder(), OnPanic: onPanic, OnError: onError, WriteTimeout: callerWriteTimeout,
-		Limits: r.callerLimits,
+		Limits: r.callerLimits, Holdings: r.callers, OnHeadRefused: r.observeRefusedHead,
 	})
 	return err
 }
