Bytes that a router has not read yet are bounded

What callers saw: with all bodies and heads bounded, 30 unfinished bodies of 4 MiB still take 86 MiB of a router of 64: 45 MiB of them are in its sockets, which the platform counts as the process's memory. Bytes behind a request that runs stay there until it ends: 67 MiB with 350 such clients.

Cause: the kernel lets each connection buffer some MiB, also before it is accepted.

Change: connections get a buffer of 16 KiB from the listening socket on, and 64 KiB while a larger body arrives and there is room for that. Bytes behind a request that runs are held in the account, and such a connection may have to go.

--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/samber/oops"
+	"golang.org/x/sys/unix"
 
 	"vanillapond/internal/process/holdings"
 )
@@ -18,6 +20,12 @@
 const (
 	// headTolerance is how much more than a header's limit is read: the request line, and what arrives together with the end of the header.
 	headTolerance = 8 << 10
+	// receiveBuffer is the size of a connection's buffer for bytes that are not read yet, also before it is accepted, and bodyBuffer that of one that
+	// carries a larger body.
+	receiveBuffer = 16 << 10
+	bodyBuffer    = 64 << 10
+	// unreadFactor is how much of the kernel's memory a buffer may use in relation to its size.
+	unreadFactor = 2
 	// tlsBytes is the memory of the state of a TLS connection.
 	tlsBytes holdings.Bytes = 32 << 10
 	// tlsHeadFactor is the memory per encrypted byte of a header, whose lines can't be counted: enough for fields of a few bytes each.
@@ -37,6 +45,25 @@
 	headBytes atomic.Int64
 }
 
+// setReceiveBuffer sets the size of the buffer of the connections that a socket accepts.
+func setReceiveBuffer(socket net.Listener, bytes int) error {
+	connections, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := connections.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	if err := raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	}); err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // hold opens the connection's holding; it returns false if there is no room.
 func (c *deadlineConn) hold(account *holdings.Account) bool {
 	if account == nil {
@@ -74,7 +101,12 @@
 	switch phase(c.phase.Load()) {
 	case awaitingHeader, idle:
 		return c.countHead(read)
-	case handlingRequest, hijacked:
+	case handlingRequest:
+		// net/http reads a single byte while a handler runs that has the whole request: the rest of what the caller sends stays in the buffer.
+		if len(read) == 1 && !c.encrypted {
+			return c.holdUnread()
+		}
+	case hijacked:
 	}
 	return nil
 }
@@ -106,6 +138,15 @@
 	return maxHeaderBytes + headTolerance
 }
 
+// holdUnread counts the bytes behind a request that runs. The connection may have to go then, although it carries a request.
+func (c *deadlineConn) holdUnread() error {
+	_ = c.holding.Unsettle()
+	if c.holding.Grow(unreadFactor*receiveBuffer) != nil {
+		return errHeadRefused
+	}
+	return nil
+}
+
 // refuseHead responds instead of net/http, which has not got the whole header, and discards what the caller goes on to send.
 func (c *deadlineConn) refuseHead(status int, reason string, retryAfter time.Duration) error {
 	failure := &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
@@ -151,6 +192,9 @@
 		if conn != nil && conn.encrypted {
 			conn.holding.Shrink(conn.baseBytes() + headMemory(r))
 		}
+		if conn != nil && (r.ContentLength < 0 || r.ContentLength > receiveBuffer) {
+			conn.receiveBody(r)
+		}
 		defer func() {
 			if conn != nil && phase(conn.phase.Load()) != hijacked {
 				_ = conn.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
@@ -160,6 +204,37 @@
 	})
 }
 
+// receiveBody enlarges the connection's buffer until the body has been read, if there is room for that.
+func (c *deadlineConn) receiveBody(r *http.Request) {
+	const more = unreadFactor * (bodyBuffer - receiveBuffer)
+	sized, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok || !c.holding.TryGrow(more) || sized.SetReadBuffer(bodyBuffer) != nil {
+		return
+	}
+	r.Body = &receivedBody{ReadCloser: r.Body, onEnd: func() {
+		// An error means that the connection is closed already.
+		_ = sized.SetReadBuffer(receiveBuffer)
+		c.holding.Release(more)
+	}}
+}
+
+// receivedBody calls a function once the body ends.
+type receivedBody struct {
+	io.ReadCloser
+	// onEnd is nil once it was called.
+	onEnd func()
+}
+
+// Read implements io.Reader.
+func (b *receivedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err != nil && b.onEnd != nil {
+		b.onEnd()
+		b.onEnd = nil
+	}
+	return n, err
+}
+
 // headMemory returns the memory of a request's header.
 func headMemory(r *http.Request) holdings.Bytes {
 	memory := holdings.Bytes(len(r.RequestURI) + len(r.Host))
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -153,6 +153,27 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestBytesBehindRequestAreHeld guards against bytes behind a request, which nobody reads while it runs and nobody counts.
+func TestBytesBehindRequestAreHeld(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	account := holdings.New(holdings.Config{Limits: holdings.NewLimits(0, 0)})
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })})
+	conn := dial(t, address)
+	is.NoErr(conn.(*net.TCPConn).SetWriteBuffer(4 << 10))
+	_, err := io.WriteString(conn, plainRequest)
+	is.NoErr(err)
+	before := holdings.Bytes(0)
+	eventually(t, "request runs", func() bool { before = account.Bytes(); return before > holdings.ConnectionBytes })
+	_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+	sent, err := conn.Write(make([]byte, 1<<20))
+	is.True(err != nil)
+	is.True(sent < 256<<10)
+	is.True(int64(account.Bytes()-before) >= 32<<10)
+}
+
 // TestUnreadBodyDoesNotKeepConnection guards against callers that keep a goroutine by a short body without its end, once its handler has returned.
 func TestUnreadBodyDoesNotKeepConnection(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -75,6 +75,9 @@
 			return nil, oops.Wrapf(err, "listen on %s", config.Address)
 		}
 	}
+	if err := setReceiveBuffer(socket, receiveBuffer); err != nil {
+		return nil, oops.Wrapf(err, "set the receive buffer of %s", config.Address)
+	}
 	if config.IdleTimeout == 0 {
 		config.IdleTimeout = idleTimeout
 	}
