Heads end at the limit of the configuration

What callers saw: 700 heads of 64,000 bytes without an end take 66 MiB of a router of 64, although MaxHeaderBytes of the configuration is 16 KiB.

Cause: net/http reads up to 64 KiB of each head, and the handler compares the whole head with the limit.

Change: the connection ends such a head itself, some KiB behind the limit in force, with 431, and discards what follows.

Failed before: TestCrowd/heads_unfinished. TestConfiguredHeaderLimit uses the new limit.

--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -134,8 +134,14 @@
 }
 
 // maxHead returns the greatest number of bytes that are read of a header.
-func (*deadlineConn) maxHead() int64 {
-	return maxHeaderBytes + headTolerance
+func (c *deadlineConn) maxHead() int64 {
+	limit := maxHeaderBytes
+	if c.limits != nil {
+		if configured := c.limits().HeaderBytes; configured > 0 {
+			limit = min(limit, configured)
+		}
+	}
+	return int64(limit + headTolerance)
 }
 
 // holdUnread counts the bytes behind a request that runs. The connection may have to go then, although it carries a request.
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,6 +130,38 @@
 	}
 }
 
+// TestConfiguredHeaderLimit guards against reading 64 KiB of each head, whatever the limit in force.
+func TestConfiguredHeaderLimit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 4 << 10
+	var refused atomic.Int64
+	address := serve(t, listener.Config{
+		Handler: greet, Limits: func() listener.Limits { return listener.Limits{HeaderBytes: limit} },
+		OnHeadRefused: func(_ string, status, bytes int) {
+			is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+			is.True(bytes < limit+20<<10)
+			refused.Add(1)
+		},
+	})
+	head := func(size int) string {
+		return "GET / HTTP/1.1\r\nHost: h.example\r\nX-Long: " + strings.Repeat("y", size)
+	}
+	refusedConn := dial(t, address)
+	status, _, _ := exchange(refusedConn, head(60<<10))
+	is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+	is.True(!isOpen(refusedConn))
+	is.Equal(refused.Load(), int64(1))
+	status, _, _ = exchange(dial(t, address), head(limit-100)+"\r\n\r\n")
+	is.Equal(status, http.StatusOK)
+	// Each request of a connection has the whole limit.
+	conn := dial(t, address)
+	for range 10 {
+		status, _, _ = exchange(conn, head(limit-100)+"\r\n\r\n")
+		is.Equal(status, http.StatusOK)
+	}
+}
+
 // TestNoRoomForHead checks the response while all room is taken by requests that run.
 func TestNoRoomForHead(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -8,8 +8,10 @@
 	"time"
 )
 
-// Limits are timeouts for callers; 0 means the listener's own timeout.
+// Limits are limits for callers; 0 means the listener's own.
 type Limits struct {
+	// HeaderBytes limits the size of the header of a request. Headers that exceed it by no more than headTolerance are left to the handler.
+	HeaderBytes int
 	// HeaderTimeout limits the time to read the header of a request.
 	HeaderTimeout time.Duration
 	// IdleTimeout limits how long a connection may stay idle between two requests.
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -227,14 +227,16 @@
 	return err
 }
 
-// callerLimits returns the time limits for caller connections from the configuration in force.
+// callerLimits returns the limits for caller connections from the configuration in force.
 func (r *Router) callerLimits() listener.Limits {
 	routeTable := r.configuration.Table()
 	if routeTable == nil {
 		return listener.Limits{}
 	}
 	limits := routeTable.Limits()
-	return listener.Limits{HeaderTimeout: limits.HeaderTimeout.Duration(), IdleTimeout: limits.IdleTimeout.Duration()}
+	return listener.Limits{
+		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout.Duration(), IdleTimeout: limits.IdleTimeout.Duration(),
+	}
 }
 
 func (r *Router) forwarder() http.Handler {
