Time limits of callers hold with TLS

What callers saw: at a listener with TLS and limits, a connection without a whole head stays for 5 s and an idle one for two minutes, whatever the limits say.

Cause: the phase of a connection, which determines its next deadline, was tracked for plain connections only.

Change: it is tracked at the connection below TLS, too.

Failed before: TestLimitsHoldWithTLS, both cases.

--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -219,6 +219,31 @@
 	is.True(err != nil && !strings.Contains(err.Error(), "timeout")) // The other side has closed it.
 }
 
+// TestLimitsHoldWithTLS guards against timeouts of the limits that hold for plain connections only.
+func TestLimitsHoldWithTLS(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	files := newFiles(t)
+	files.Authority = ""
+	config, err := certificate.NewServerConfig(files, "http/1.1")
+	is.NoErr(err)
+	address := serve(t, listener.Config{Handler: greet, TLS: config, Limits: func() listener.Limits {
+		return listener.Limits{HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
+	}})
+	for name, request := range map[string]string{"header": "GET / HTTP/1.1\r\n", "idle": plainRequest} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := tls.Client(dial(t, address), &tls.Config{InsecureSkipVerify: true})
+			is.NoErr(conn.Handshake())
+			start := time.Now()
+			_, err := io.WriteString(conn, request)
+			is.NoErr(err)
+			_, _ = io.Copy(io.Discard, conn)
+			is.True(time.Since(start) < 3*time.Second) // The listener's own are 5 s and two minutes.
+		})
+	}
+}
+
 // TestStreamsAreBounded checks that the heads of the requests of one HTTP/2 connection are bounded, and that a refused one is told when to come back.
 func TestStreamsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -53,7 +53,7 @@
 // SetReadDeadline implements net.Conn; it replaces the server's fixed timeouts by the limits in force now.
 func (c *deadlineConn) SetReadDeadline(deadline time.Time) error {
 	c.idleSince.Store(nil)
-	if c.limits == nil || c.encrypted || deadline.IsZero() {
+	if c.limits == nil || deadline.IsZero() {
 		return c.Conn.SetReadDeadline(deadline)
 	}
 	now, limit := time.Now(), time.Duration(0)
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -42,7 +42,7 @@
 	IdleTimeout time.Duration
 	// WriteTimeout limits the time of one write, in case the caller does not read; 0 means half a minute.
 	WriteTimeout time.Duration
-	// Limits returns the limits in force now; nil means that the listener's own apply. Its timeouts have no effect with TLS.
+	// Limits returns the limits in force now; nil means that the listener's own apply.
 	Limits func() Limits
 	// Holdings bounds the connections, and the heads of requests; nil bounds nothing.
 	Holdings *holdings.Account
