Entries and sidecars: what callers hold is bounded

What callers saw: an entry of 160 MiB takes 278 to 553 MiB of 30 bodies of 8 MiB, whole, unfinished or in chunks, over HTTP/1.1 or as streams of one HTTP/2 connection, and of 250 unfinished heads of short fields.

Cause: as in the router, and nothing tells an entry or a sidecar its memory.

Change: both have accounts for callers, and for operators and other processes, from limits.memory_mb and limits.max_descriptors of their settings, or else GOMEMLIMIT and the limit of the operating system; the gateway reads bodies like the router, counted four times: as they came, decoded, in the frame of the link and in its message.

--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -12,8 +12,10 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"vanillapond/internal/body"
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/metrics"
 	"vanillapond/internal/process/scaling"
@@ -72,6 +74,8 @@
 	Claims  Claims
 	// Entries returns the number of live entries that share the customers' limits; nil means 1.
 	Entries func() int
+	// Holdings bounds what all callers hold; nil bounds nothing.
+	Holdings *holdings.Account
 	// MaxBodySize is the limit on the size of a request body, in bytes; 0 means DefaultMaxBodySize.
 	MaxBodySize int64
 	// BodyReadTimeout is the limit on the time in which a caller must send its body; 0 means DefaultBodyReadTimeout.
@@ -122,6 +126,8 @@
 	pool       configuration.Pool
 	completion api.CompletionRequest
 	body       []byte
+	// held is the body with the room that it takes; nil if it is empty or was not read.
+	held *body.Body
 	// claim is the claim in which the outcome is recorded; nil if the request has none.
 	claim *claim.Handle
 	// responded is set when a stage has written the response, so that no further stage runs.
@@ -137,6 +143,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	exchange := &Exchange{ID: ident.Request(strings.ToLower(ulid.Make().String())), Started: time.Now(), writer: w, request: r}
 	defer exchange.removeFromActive()
+	defer func() { exchange.held.Release() }()
 	defer func() {
 		if exchange.releaseLimits != nil {
 			exchange.releaseLimits()
--- a/internal/request/gateway/stages.go
+++ b/internal/request/gateway/stages.go
@@ -3,15 +3,15 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
+	"vanillapond/internal/body"
 	"vanillapond/internal/connection/backend"
 	"vanillapond/internal/connection/link"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/request/credential"
 	"vanillapond/internal/request/refusal"
 	"vanillapond/pkg/api"
@@ -73,27 +73,29 @@
 
 // readBody reads the complete body within the limits on its size and time.
 func (g *Gateway) readBody(exchange *Exchange) *refusal.Error {
-	controller := http.NewResponseController(exchange.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(g.config.BodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, g.config.MaxBodySize))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	read, err := body.Read(exchange.writer, exchange.request, body.Config{
+		Limit: g.config.MaxBodySize, Deadline: time.Now().Add(g.config.BodyReadTimeout), Account: g.config.Holdings, Copies: bodyCopies,
+	})
+	switch {
+	case errors.Is(err, holdings.ErrNoRoom):
+		return refusal.Retryable(http.StatusServiceUnavailable, api.CodeOverloaded, err.Error(), g.config.Holdings.RetryAfter())
+	case errors.Is(err, body.ErrTooLarge):
 		return refusal.New(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body is too large")
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	case errors.Is(err, body.ErrLate):
 		return refusal.New(http.StatusRequestTimeout, api.CodeBadRequest, "the body came too slowly")
-	}
-	if err != nil {
+	case err != nil:
 		return refusal.New(http.StatusBadRequest, api.CodeBadRequest, "the body could not be read")
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	if exchange.credential.AppearsIn(body) {
+	exchange.held, exchange.body = read, read.Join()
+	if exchange.credential.AppearsIn(exchange.body) {
 		return refusal.New(http.StatusBadRequest, api.CodeBadRequest, "the body holds the key")
 	}
-	exchange.body = body
 	return nil
 }
 
+// bodyCopies is how often a body is in memory: as it came, as decoded text, in the frame of the link and in the message that carries it.
+const bodyCopies = 4
+
 // classify determines the request's class and checks that the key may use it.
 func (g *Gateway) classify(exchange *Exchange) *refusal.Error {
 	if isCompletion(exchange.request.URL.Path) {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -12,6 +12,7 @@
 	"vanillapond/internal/connection/platformclient"
 	"vanillapond/internal/process/certificate"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/metrics"
@@ -70,9 +71,11 @@
 	metrics      *metrics.Metrics
 	readiness    *readiness
 	claims       *claim.Manager
-	suspects     *suspect.Registry
-	cancel       context.CancelFunc
-	loops        sync.WaitGroup
+	// callers bounds what callers hold, and internal what operators and other processes do.
+	callers, internal *holdings.Account
+	suspects          *suspect.Registry
+	cancel            context.CancelFunc
+	loops             sync.WaitGroup
 }
 
 // Start starts an entry.
@@ -93,6 +96,7 @@
 		meter:     scaling.NewMeter(),
 		suspects:  suspect.NewRegistry(),
 	}
+	e.callers, e.internal = identity.NewHoldings(settings.Limits)
 	e.connectFleet(dialer)
 	e.ledger = ledger.New(ledger.Config{
 		Table: e.client, Process: settings.Process, Incarnation: identity.Incarnation,
@@ -202,6 +206,7 @@
 		Meter:     e.meter,
 		Metrics:   e.metrics,
 		Claims:    e.claims,
+		Holdings:  e.callers,
 	})
 	operatorAPI := operations.New(operations.Config{
 		Replica: e.replica, Snapshots: e.snapshots, Events: e.events, Propagator: e.watcher, RootDigest: e.config.Settings.RootOperator,
@@ -209,34 +214,39 @@
 	})
 	settings := e.config.Settings
 	var err error
-	if e.callerListener, err = e.startListener(ctx, settings.Listen, callerHandler, settings.CallerTLS); err != nil {
+	if e.callerListener, err = e.startListener(ctx, listener.Config{
+		Address: settings.Listen, Handler: callerHandler, Holdings: e.callers,
+	}, settings.CallerTLS); err != nil {
 		return err
 	}
-	if e.operatorListener, err = e.startListener(
-		ctx, settings.OperatorListen, operatorAPI.Handler(), settings.OperatorTLS,
-	); err != nil {
+	if e.operatorListener, err = e.startListener(ctx, listener.Config{
+		Address: settings.OperatorListen, Handler: operatorAPI.Handler(), Holdings: e.internal,
+	}, settings.OperatorTLS); err != nil {
 		return err
 	}
 	if settings.PeerListen != "" {
 		mux := http.NewServeMux()
 		mux.Handle("POST "+peer.Path, e.peerNode)
-		if e.peerListener, err = e.startListener(ctx, settings.PeerListen, mux, settings.ProcessTLS); err != nil {
+		if e.peerListener, err = e.startListener(ctx, listener.Config{
+			Address: settings.PeerListen, Handler: mux, Holdings: e.internal,
+		}, settings.ProcessTLS); err != nil {
 			return err
 		}
 	}
-	e.privateListener, err = e.startListener(ctx, settings.PrivateListen, e.privateHandler(), certificate.Files{})
+	e.privateListener, err = e.startListener(ctx, listener.Config{
+		Address: settings.PrivateListen, Handler: e.privateHandler(), Holdings: e.internal,
+	}, certificate.Files{})
 	return err
 }
 
 // startListener starts a listener, with TLS if files are given.
-func (e *Entry) startListener(
-	ctx context.Context, address string, handler http.Handler, files certificate.Files,
-) (*listener.Listener, error) {
-	tlsConfig, err := certificate.NewServerConfig(files, "h2", "http/1.1")
-	if err != nil {
+func (e *Entry) startListener(ctx context.Context, config listener.Config, files certificate.Files) (*listener.Listener, error) {
+	var err error
+	if config.TLS, err = certificate.NewServerConfig(files, "h2", "http/1.1"); err != nil {
 		return nil, err
 	}
-	return listener.Start(ctx, listener.Config{Address: address, Handler: handler, TLS: tlsConfig, OnPanic: e.events.RecordPanic})
+	config.OnPanic = e.events.RecordPanic
+	return listener.Start(ctx, config)
 }
 
 func (e *Entry) privateHandler() http.Handler {
--- a/internal/role/entry/settings.go
+++ b/internal/role/entry/settings.go
@@ -10,6 +10,7 @@
 
 	"vanillapond/internal/process/certificate"
 	"vanillapond/internal/process/lease"
+	"vanillapond/internal/role/member"
 	"vanillapond/pkg/ident"
 )
 
@@ -49,6 +50,8 @@
 	FlushMS int64 `yaml:"flush_ms"`
 	// GraceSeconds is how long after its end a billing window still accepts usage.
 	GraceSeconds int64 `yaml:"grace_seconds"`
+	// Limits bound what callers and other processes may hold.
+	Limits member.Limits `yaml:"limits"`
 }
 
 // Peer is another entry process.
@@ -110,7 +113,7 @@
 	if s.DrainSeconds == 0 {
 		s.DrainSeconds = defaultDrainSeconds
 	}
-	return cmp.Or(s.checkTimes(), s.checkBilling())
+	return cmp.Or(s.checkTimes(), s.checkBilling(), s.Limits.Check())
 }
 
 func (s *Settings) checkTimes() error {
--- a/internal/role/sidecar/settings.go
+++ b/internal/role/sidecar/settings.go
@@ -6,6 +6,7 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/process/certificate"
+	"vanillapond/internal/role/member"
 	"vanillapond/pkg/configuration"
 	"vanillapond/pkg/ident"
 )
@@ -33,6 +34,8 @@
 	DrainSeconds int64 `yaml:"drain_seconds"`
 	// OrphanAfterMS is how long an entry's links must be down before the sidecar writes the entry's usage itself, in milliseconds.
 	OrphanAfterMS int64 `yaml:"orphan_after_ms"`
+	// Limits bound what callers and other processes may hold.
+	Limits member.Limits `yaml:"limits"`
 }
 
 // defaultDrainSeconds is the default of Settings.DrainSeconds.
@@ -86,7 +89,7 @@
 	if s.DrainSeconds == 0 {
 		s.DrainSeconds = defaultDrainSeconds
 	}
-	return nil
+	return s.Limits.Check()
 }
 
 // DrainTimeout returns the upper bound of the time that a planned stop waits for running requests.
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"vanillapond/internal/connection/platformclient"
 	"vanillapond/internal/process/certificate"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/metrics"
@@ -47,8 +48,10 @@
 	linkServer      *link.Server
 	linkListener    *listener.Listener
 	privateListener *listener.Listener
-	cancel          context.CancelFunc
-	loops           sync.WaitGroup
+	// callers bounds what entries hold, and internal what the clients of the private listener do.
+	callers, internal *holdings.Account
+	cancel            context.CancelFunc
+	loops             sync.WaitGroup
 }
 
 // Start starts a sidecar.
@@ -60,6 +63,7 @@
 		return nil, err
 	}
 	s := &Sidecar{config: config, events: identity.Events, metrics: identity.Metrics}
+	s.callers, s.internal = identity.NewHoldings(config.Settings.Limits)
 	s.recordBuffer = ledger.NewRecordBuffer(ledger.RecordBufferConfig{
 		Table:       platformclient.New(platformclient.Config{Base: config.Settings.Platform, Process: config.Settings.Process}),
 		Incarnation: identity.Incarnation, Interval: max(config.Settings.OrphanTimeout()/orphanScans, time.Millisecond),
@@ -102,7 +106,7 @@
 		return err
 	}
 	if s.linkListener, err = listener.Start(ctx, listener.Config{
-		Address: s.config.Settings.Listen, Handler: mux, TLS: tlsConfig, OnPanic: s.events.RecordPanic,
+		Address: s.config.Settings.Listen, Handler: mux, TLS: tlsConfig, OnPanic: s.events.RecordPanic, Holdings: s.callers,
 	}); err != nil {
 		return err
 	}
@@ -117,7 +121,9 @@
 	s.metrics.Gauge("vanillapond_endpoint_waiting", "Requests in the sidecar's queue.", func() float64 {
 		return float64(s.guard.Load().Waiting)
 	})
-	s.privateListener, err = listener.Start(ctx, listener.Config{Address: s.config.Settings.PrivateListen, Handler: private})
+	s.privateListener, err = listener.Start(ctx, listener.Config{
+		Address: s.config.Settings.PrivateListen, Handler: private, Holdings: s.internal,
+	})
 	return err
 }
 
