Bodies of operators and of other entries are bounded

What callers saw: an entry of 160 MiB takes 628 MiB of 10 unfinished queries of 32 MiB at its port for other entries, which also serves probes; they stay as long as their connections.

Cause: queries are limited one by one, and nothing limits the time in which they arrive.

Change: what the handlers of that port and of the operators' read is held in the internal account, and must arrive within 30 s; a query without room gets 503.

Failed before: TestPeerCrowd.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"vanillapond/internal/body"
 	"vanillapond/internal/connection/fleet"
 	"vanillapond/internal/connection/platformclient"
 	"vanillapond/internal/process/certificate"
@@ -220,13 +221,13 @@
 		return err
 	}
 	if e.operatorListener, err = e.startListener(ctx, listener.Config{
-		Address: settings.OperatorListen, Handler: operatorAPI.Handler(), Holdings: e.internal,
+		Address: settings.OperatorListen, Handler: e.chargeInternal(operatorAPI.Handler()), Holdings: e.internal,
 	}, settings.OperatorTLS); err != nil {
 		return err
 	}
 	if settings.PeerListen != "" {
 		mux := http.NewServeMux()
-		mux.Handle("POST "+peer.Path, e.peerNode)
+		mux.Handle("POST "+peer.Path, e.chargeInternal(e.peerNode))
 		if e.peerListener, err = e.startListener(ctx, listener.Config{
 			Address: settings.PeerListen, Handler: mux, Holdings: e.internal,
 		}, settings.ProcessTLS); err != nil {
@@ -249,6 +250,14 @@
 	return listener.Start(ctx, config)
 }
 
+// internalBodyTimeout bounds the time in which the body of an operator's or another entry's request must arrive.
+const internalBodyTimeout = 30 * time.Second
+
+// chargeInternal wraps a handler for operators or other processes, so that the bodies of their requests are bounded together.
+func (e *Entry) chargeInternal(handler http.Handler) http.Handler {
+	return body.Charge(handler, body.ChargeConfig{Account: e.internal, Timeout: internalBodyTimeout})
+}
+
 func (e *Entry) privateHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
@@ -256,7 +265,7 @@
 	mux.Handle("GET "+event.PathEvents, e.events)
 	mux.Handle("GET "+metrics.Path, e.metrics.Handler())
 	if e.config.Settings.PeerListen == "" {
-		mux.Handle("POST "+peer.Path, e.peerNode)
+		mux.Handle("POST "+peer.Path, e.chargeInternal(e.peerNode))
 	}
 	return mux
 }
--- a/internal/version/peer/node.go
+++ b/internal/version/peer/node.go
@@ -68,10 +68,14 @@
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
-	if err != nil {
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	query, err := decode[Query](body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
