Links: what a peer sends before its hello is bounded

What callers saw: a sidecar of 160 MiB takes 465 MiB of 20 clients that open a link and send a message of 15 MiB without its end instead of the hello. An entry keeps the largest message that it has sent, for each of its links.

Cause: the limit for messages, 16 MiB, holds from the first byte on, before the secret is checked.

Change: 64 KiB until then, and such a connection may have to go for others. The bodies of requests are held in the sidecar's account; one without room is denied as not run, so that the entry sends it elsewhere. Buffers of more than 256 KiB are not kept.

TestNoRoomForRequest uses the account.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -27,6 +27,10 @@
 	pingTimeout      = 4 * time.Second
 	outgoingFrames   = 1024
 	batchBytes       = 64 << 10
+	// maxHelloBytes bounds the first message, whose sender is not known yet.
+	maxHelloBytes = 64 << 10
+	// maxKeptBytes bounds the buffer that is kept for the next message.
+	maxKeptBytes = 4 * batchBytes
 	// aliveValidity is how long after an answered ping the other end is assumed to be still connected.
 	aliveValidity = pingInterval + time.Second
 	// aliveTimeout bounds a ping that a request waits for.
@@ -100,7 +104,7 @@
 	if config.eventClock == nil {
 		config.eventClock = event.NewClock(time.Now)
 	}
-	socket.SetReadLimit(MaxMessage)
+	socket.SetReadLimit(maxHelloBytes)
 	conn := &Conn{
 		socket:     socket,
 		outgoing:   make(chan Frame, outgoingFrames),
@@ -112,6 +116,7 @@
 		_ = socket.Close(websocket.StatusPolicyViolation, "handshake failed")
 		return nil, err
 	}
+	socket.SetReadLimit(MaxMessage)
 	go conn.write()
 	go conn.ping() //nolint:gosec // The link outlives the HTTP request that opened it.
 	return conn, nil
@@ -276,6 +281,9 @@
 			if err := c.writeMessage(message); err != nil {
 				return
 			}
+			if cap(message) > maxKeptBytes {
+				message = nil
+			}
 		case <-c.done:
 			return
 		}
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -13,10 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
 	"vanillapond/internal/connection/link"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/pkg/ident"
 )
 
@@ -230,6 +232,48 @@
 	is.True(!errors.Is(err, link.ErrSecret)) // The sidecar closed the connection before it sent its own hello.
 }
 
+// TestLongHello guards against reading a long message of a peer that is not known yet.
+func TestLongHello(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	url := serve(t, hello(1, 1, ""), echo)
+	socket, response, err := websocket.Dial(t.Context(), url, nil)
+	is.NoErr(err)
+	if response.Body != nil {
+		_ = response.Body.Close()
+	}
+	socket.SetReadLimit(-1)
+	_ = socket.Write(t.Context(), websocket.MessageBinary, make([]byte, 1<<20))
+	_, _, err = socket.Read(t.Context())
+	is.Equal(websocket.CloseStatus(err), websocket.StatusMessageTooBig)
+}
+
+// TestNoRoomForRequest checks that a request for whose body there is no room is denied as not run, and that the link goes on.
+func TestNoRoomForRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 1 << 20, Largest: 1 << 20, Connections: 10}})
+	local := hello(1, 1, "")
+	local.Load = link.Load{Capacity: 1}
+	server := httptest.NewServer(link.NewServer(link.ServerConfig{Hello: func() link.Hello { return local }, Handler: handler(echo), Holdings: account}))
+	t.Cleanup(server.Close)
+	client, err := link.Dial(t.Context(), link.ClientConfig{URL: "ws" + strings.TrimPrefix(server.URL, "http"), Hello: hello(1, 1, "")})
+	is.NoErr(err)
+	t.Cleanup(client.Close)
+	for _, size := range []int{500 << 10, 1000} {
+		stream, err := client.Open(t.Context(), &link.Open{Request: "r", Method: "GET", Path: "/", Body: make([]byte, size)})
+		is.NoErr(err)
+		frame, err := stream.Next(t.Context())
+		is.NoErr(err)
+		deny, denied := frame.(*link.Deny)
+		is.Equal(denied, size > 1000)
+		if denied {
+			is.True(deny.NotRun)
+			is.True(deny.RetryAfterMS > 0)
+		}
+	}
+}
+
 // TestAliveAfterPause checks that Alive, after a pause of this process, pings the entry and is false if the entry does not respond:
 // a sidecar would otherwise run requests of entries that have given them up.
 func TestAliveAfterPause(t *testing.T) {
--- a/internal/connection/link/server.go
+++ b/internal/connection/link/server.go
@@ -11,7 +11,9 @@
 
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
+	"vanillapond/internal/process/listener"
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/process/suspect"
 	"vanillapond/pkg/ident"
@@ -60,6 +62,8 @@
 	RecordBuffer RecordBuffer
 	// EventClock is the process's hybrid logical clock for the event log; nil means a separate clock for each link.
 	EventClock *event.Clock
+	// Holdings bounds the connections of peers that have not sent their hello, and the bodies of requests; nil bounds nothing.
+	Holdings *holdings.Account
 }
 
 // Server accepts links and holds the sidecar's ends of them.
@@ -89,12 +93,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	conn, err := accept(w, r, s.config.Hello(), s.config.EventClock)
-	if err != nil {
+	conn := s.accept(w, r)
+	if conn == nil {
 		return
 	}
 	link := &serverLink{
-		Conn: conn, handler: s.config.Handler, recordBuffer: s.config.RecordBuffer, queryOutcome: s.config.QueryOutcome,
+		Conn: conn, server: s, handler: s.config.Handler, recordBuffer: s.config.RecordBuffer, queryOutcome: s.config.QueryOutcome,
 		streams: make(map[StreamID]*Incoming),
 	}
 	s.mu.Lock()
@@ -109,6 +113,21 @@
 	link.cancelStreams()
 }
 
+// accept returns the connection of a peer that has sent its hello, or nil.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) *Conn {
+	ctx := r.Context()
+	_ = listener.SetDismissible(ctx, true)
+	conn, err := accept(w, r, s.config.Hello(), s.config.EventClock)
+	if err != nil {
+		return nil
+	}
+	if listener.SetDismissible(ctx, false) != nil {
+		conn.Close()
+		return nil
+	}
+	return conn
+}
+
 // Broadcast sends a load report on each link where one is due; with suspicions, on all links.
 //
 // The report is dropped on links whose queue is full.
@@ -158,6 +177,7 @@
 // serverLink is one entry's link.
 type serverLink struct {
 	*Conn
+	server       *Server
 	reports      reportSchedule
 	handler      Handler
 	recordBuffer RecordBuffer
@@ -207,7 +227,17 @@
 	return l.streams[id]
 }
 
+// bodyCopies is how often the body of a request is in memory: in the message that brought it, as decoded, and on its way to the backend.
+const bodyCopies = 3
+
 func (l *serverLink) startStream(open *Open) error {
+	holding, err := l.server.config.Holdings.Open(holdings.Body, string(l.peer.Process), holdings.Bytes(len(open.Body))*bodyCopies, func() {})
+	if err != nil {
+		go l.denyForRoom(open)
+		return nil
+	}
+	// Requests that have arrived do not have to go.
+	_ = holding.Settle()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stream := &Incoming{
 		Open: open, Sent: clock.Boot().Add(-l.excessDelay(open.SentMS)), link: l, ctx: ctx, cancel: cancel,
@@ -220,15 +250,25 @@
 	}
 	l.mu.Unlock()
 	if found {
+		holding.Close()
 		return oops.Errorf("link: stream %d opened twice", open.Stream)
 	}
 	go func() {
+		defer holding.Close()
 		defer stream.remove()
 		l.handler.ServeStream(stream)
 	}()
 	return nil
 }
 
+// denyForRoom denies a request for whose body there is no room.
+func (l *serverLink) denyForRoom(open *Open) {
+	_ = l.send(&Deny{
+		Stream: open.Stream, Code: DenyBusy, NotRun: true, Reason: holdings.ErrNoRoom.Error(),
+		RetryAfterMS: l.server.config.Holdings.RetryAfter().Milliseconds(), Load: l.server.config.Hello().Load,
+	})
+}
+
 func (l *serverLink) cancelStreams() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -89,6 +90,20 @@
 	_ = c.holding.Settle()
 }
 
+// SetDismissible sets whether the connection of a request may have to go for others although it carries the request, as long as its handler does not know who
+// the caller is. The error is holdings.ErrNoRoom if it had to go before.
+func SetDismissible(ctx context.Context, dismissible bool) error {
+	conn := plainConn(ctx.Value(connKey{}))
+	switch {
+	case conn == nil:
+		return nil
+	case dismissible:
+		return conn.holding.Unsettle()
+	default:
+		return conn.holding.Settle()
+	}
+}
+
 // releaseHead releases the header of the request that has ended.
 func (c *deadlineConn) releaseHead() {
 	c.headBytes.Store(0)
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -86,6 +86,7 @@
 	}
 	s.linkServer = link.NewServer(link.ServerConfig{
 		Hello: hello, Handler: s.guard, QueryOutcome: s.guard.QueryOutcome, RecordBuffer: s.recordBuffer, EventClock: identity.Events.Clock(),
+		Holdings: s.callers,
 	})
 	if err := s.startListeners(ctx); err != nil {
 		return nil, err
