Unfinished bodies don't keep connections from others

What callers saw: callers that take all connections that a router allows, each with a body of a few bytes that it never finishes, keep everybody else out until their routes' timeouts. A caller that sends its body byte by byte is cut off after some dozens of them.

Cause: a connection could not go while it carried a request, also one that has not arrived. A read of one byte was taken for one into a buffer of one byte, which net/http uses to look for bytes behind a request.

Change: a connection stays once the body has been read to its end; what arrives of a body counts as movement. The size of the buffer is compared.

Failed before: TestUnfinishedBodiesMakeWay, TestBodyByteByByte.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -33,6 +33,8 @@
 	largeBodies   = 30
 	mediumBodies  = 300
 	mediumBytes   = 256 << 10
+	smallBytes    = 10
+	unreadClients = 60
 	endlessBodies = 30
 	largeHeads    = 700
 	fieldHeads    = 120
@@ -62,6 +64,7 @@
 		}},
 		{"bodies_in_pieces", largeBodies, func(conn net.Conn, id string) error { return sendBody(conn, id, maxBodyBytes-1, len(piece)) }},
 		{"medium_bodies_unfinished", mediumBodies, func(conn net.Conn, id string) error { return sendBody(conn, id, mediumBytes, 64<<10) }},
+		{"small_bodies_unfinished", idleConns, func(conn net.Conn, id string) error { return sendBody(conn, id, smallBytes, smallBytes) }},
 		{"bodies_without_key", largeBodies, func(conn net.Conn, id string) error {
 			if err := write(conn, requestHead("POST", "/slow/", "", id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)); err != nil {
 				return err
@@ -106,6 +109,16 @@
 			}
 			return sendPieces(conn, endless, 16<<10)
 		}},
+		{"responses_unread", unreadClients, func(conn net.Conn, id string) error {
+			if err := conn.(*net.TCPConn).SetReadBuffer(clientBufferBytes); err != nil {
+				return err
+			}
+			if err := write(conn, requestHead("GET", "/large/", "right", id)+"\r\n"); err != nil {
+				return err
+			}
+			time.Sleep(crowdTime)
+			return nil
+		}},
 		{"idle_connections", idleConns, func(net.Conn, string) error { return nil }},
 	}
 	for _, crowd := range crowds {
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -24,6 +24,8 @@
 	command *exec.Cmd
 	// callers is the address of its listener for callers.
 	callers string
+	// servers is the address of the servers behind it; empty if there are none, or they have several.
+	servers string
 	// done is closed when the process has ended.
 	done chan struct{}
 }
--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -24,6 +24,8 @@
 	host = "crowd.example"
 	// slowResponse is how long the server takes for requests of the route "slow".
 	slowResponse = 2 * time.Second
+	// largeResponse is the length in bytes of a response of the route "large".
+	largeResponse = 16 << 20
 	// readyTimeout bounds the start of the process, and ordinaryTimeout how long an ordinary caller goes on trying.
 	readyTimeout    = 20 * time.Second
 	ordinaryTimeout = 30 * time.Second
@@ -41,6 +43,7 @@
 		Version: 1,
 		Routes: []platform.Route{
 			{Name: "plain", Host: host, PathPrefix: "/p/", Kind: platform.Idempotent, Timeout: 5000, Service: "s", MaxServers: 2},
+			{Name: "large", Host: host, PathPrefix: "/large/", Kind: platform.Idempotent, Timeout: 20_000, Service: "s", MaxServers: 2},
 			{Name: "slow", Host: host, PathPrefix: "/slow/", Kind: platform.Idempotent, Timeout: 20_000, Service: "s", MaxServers: 2},
 		},
 		Services:  []platform.Service{{Name: "s", MaxConnections: 100}},
@@ -73,6 +76,7 @@
 		t.Fatal(err)
 	}
 	r := &router{process: start(t, nil, addresses[0], "router", "--settings", settings), ready: addresses[1]}
+	r.servers = server.Listener.Addr().String()
 	for end := time.Now().Add(readyTimeout); !r.isReady(); time.Sleep(watchInterval) {
 		if time.Now().After(end) {
 			t.Fatalf("not ready within %v", readyTimeout)
@@ -92,6 +96,14 @@
 	}
 	w.Header().Set(platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID))
 	w.Header().Set(platform.HeaderSignature, "seal")
+	if strings.HasPrefix(request.URL.Path, "/large/") {
+		w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
+		for piece := make([]byte, 64<<10); ; {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	}
 	_, _ = io.WriteString(w, hex.EncodeToString(digest.Sum(nil)))
 }
 
--- a/crowd/usage_test.go
+++ b/crowd/usage_test.go
@@ -83,12 +83,11 @@
 	return count
 }
 
-// unreadKiB returns the bytes that wait to be read at the callers' port. The line of the listening socket counts connections, not bytes.
+// unreadKiB returns the bytes that wait to be read by the process: from its callers, and from the servers. The line of a listening socket counts
+// connections, not bytes.
 func (p *process) unreadKiB() int {
 	const listening = "0A"
-	_, port, _ := strings.Cut(p.callers, ":")
-	number, _ := strconv.Atoi(port)
-	local := fmt.Sprintf("0100007F:%04X", number)
+	callers, servers := tableAddress(p.callers), tableAddress(p.servers)
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -97,7 +96,7 @@
 	unread := int64(0)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
+		if len(fields) < 5 || fields[3] == listening || fields[1] != callers && fields[2] != servers {
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
@@ -106,3 +105,10 @@
 	}
 	return int(unread >> 10)
 }
+
+// tableAddress returns a loopback address as /proc/net/tcp spells it.
+func tableAddress(address string) string {
+	_, port, _ := strings.Cut(address, ":")
+	number, _ := strconv.Atoi(port)
+	return fmt.Sprintf("0100007F:%04X", number)
+}
--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -111,14 +111,15 @@
 	_ = c.holding.Unsettle()
 }
 
-// count counts bytes that were read. The error ends the connection.
-func (c *deadlineConn) count(read []byte) error {
+// count counts the n bytes that were read into a buffer. The error ends the connection.
+func (c *deadlineConn) count(buffer []byte, n int) error {
 	switch phase(c.phase.Load()) {
 	case awaitingHeader, idle:
-		return c.countHead(read)
+		return c.countHead(buffer[:n])
 	case handlingRequest:
-		// net/http reads a single byte while a handler runs that has the whole request: the rest of what the caller sends stays in the buffer.
-		if len(read) == 1 && !c.encrypted {
+		c.holding.Move(holdings.Bytes(n))
+		// net/http reads into a buffer of one byte while a handler runs that has the whole request: the rest of what the caller sends stays unread.
+		if len(buffer) == 1 && !c.encrypted {
 			return c.holdUnread()
 		}
 	case hijacked:
@@ -191,84 +192,3 @@
 	}
 	return failure
 }
-
-// holdRequest wraps a handler whose requests hold their headers while it runs, and whose callers can't keep a connection by an unfinished body.
-func holdRequest(account *holdings.Account, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn := plainConn(r.Context().Value(connKey{}))
-		if r.ProtoMajor > 1 {
-			if conn != nil {
-				conn.holding.Shrink(conn.baseBytes())
-			}
-			holding, err := account.Open(holdings.Stream, r.RemoteAddr, headMemory(r), func() {})
-			if err != nil {
-				refuseStream(w, account.RetryAfter())
-				return
-			}
-			_ = holding.Settle()
-			defer holding.Close()
-			next.ServeHTTP(w, r)
-			return
-		}
-		if conn != nil && conn.encrypted {
-			conn.holding.Shrink(conn.baseBytes() + headMemory(r))
-		}
-		if conn != nil && (r.ContentLength < 0 || r.ContentLength > receiveBuffer) {
-			conn.receiveBody(r)
-		}
-		defer func() {
-			if conn != nil && phase(conn.phase.Load()) != hijacked {
-				_ = conn.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
-			}
-		}()
-		next.ServeHTTP(w, r)
-	})
-}
-
-// receiveBody enlarges the connection's buffer until the body has been read, if there is room for that.
-func (c *deadlineConn) receiveBody(r *http.Request) {
-	const more = unreadFactor * (bodyBuffer - receiveBuffer)
-	sized, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
-	if !ok || !c.holding.TryGrow(more) || sized.SetReadBuffer(bodyBuffer) != nil {
-		return
-	}
-	r.Body = &receivedBody{ReadCloser: r.Body, onEnd: func() {
-		// An error means that the connection is closed already.
-		_ = sized.SetReadBuffer(receiveBuffer)
-		c.holding.Release(more)
-	}}
-}
-
-// receivedBody calls a function once the body ends.
-type receivedBody struct {
-	io.ReadCloser
-	// onEnd is nil once it was called.
-	onEnd func()
-}
-
-// Read implements io.Reader.
-func (b *receivedBody) Read(buffer []byte) (int, error) {
-	n, err := b.ReadCloser.Read(buffer)
-	if err != nil && b.onEnd != nil {
-		b.onEnd()
-		b.onEnd = nil
-	}
-	return n, err
-}
-
-// headMemory returns the memory of a request's header.
-func headMemory(r *http.Request) holdings.Bytes {
-	memory := holdings.Bytes(len(r.RequestURI) + len(r.Host))
-	for name, values := range r.Header {
-		for _, value := range values {
-			memory += holdings.Bytes(len(name)+len(value)) + holdings.LineBytes
-		}
-	}
-	return memory
-}
-
-// refuseStream responds to a request for whose header there is no room.
-func refuseStream(w http.ResponseWriter, retryAfter time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	http.Error(w, holdings.ErrNoRoom.Error(), http.StatusServiceUnavailable)
-}
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -106,6 +106,52 @@
 	eventually(t, "nothing is held", func() bool { return account.Connections() == 0 && account.Bytes() == 0 })
 }
 
+// TestUnfinishedBodiesMakeWay guards against callers that take all connections with bodies of a few bytes that they never finish.
+func TestUnfinishedBodiesMakeWay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 16
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		greet(w, r)
+	})})
+	for range 4 * limit {
+		_, _ = io.WriteString(dial(t, address), "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 10\r\n\r\nshort")
+	}
+	for range 3 {
+		status, _, body := exchange(dial(t, address), plainRequest)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "hello")
+	}
+}
+
+// TestBodyByteByByte guards against taking the pieces of a slow caller's body for bytes behind the request.
+func TestBodyByteByByte(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	account := holdings.New(holdings.Config{Limits: holdings.NewLimits(8<<20, 0)})
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})})
+	conn := dial(t, address)
+	is.NoErr(conn.(*net.TCPConn).SetNoDelay(true))
+	const body = "one byte after the other, as a caller with a slow link may send it"
+	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n", 4*len(body))
+	_, err := io.WriteString(conn, request)
+	is.NoErr(err)
+	for _, piece := range []byte(strings.Repeat(body, 4)) {
+		_, err := conn.Write([]byte{piece})
+		is.NoErr(err)
+		time.Sleep(time.Millisecond)
+		is.True(account.Bytes() < 64<<10)
+	}
+	status, _, echoed := exchange(conn, "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(echoed, strings.Repeat(body, 4))
+}
+
 // TestHeadsAreBounded guards against unfinished heads that hold more than all callers may.
 func TestHeadsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -77,7 +77,7 @@
 	for {
 		n, err := c.Conn.Read(buffer)
 		if n > 0 {
-			if refused := c.count(buffer[:n]); refused != nil {
+			if refused := c.count(buffer, n); refused != nil {
 				return 0, refused
 			}
 			return n, err
