A server that was picked and got nothing takes the request later

Cause: place adds a server to those that were tried as soon as it is picked. A server that was tried is not waited for, also if the request was withdrawn before a byte was sent, or another request took the turn.

Change: a server counts as tried once the request has its turn there, and not if the request was withdrawn before it was sent.

--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -53,6 +53,8 @@
 	findings     map[servermodel.Finding]int
 	invalidLoads int
 	shares       *fairshare.Controller
+	// onDial is called for each connection to a server, when the request is about to be sent on it.
+	onDial func()
 	// holdings bounds what the callers hold.
 	holdings *holdings.Account
 	mu       sync.Mutex
@@ -172,10 +174,11 @@
 func newHarness(t *testing.T, extra float64, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
 	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: harnessStart, shares: fairshare.New()}
+	h.onDial = func() {}
 	h.holdings = holdings.New(holdings.Config{Limits: holdings.NewLimits(8<<20, 0)})
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
-			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second})
+			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second, OnDial: func() { h.onDial() }})
 		},
 		ReregistrationTimeout: time.Second,
 	})
--- a/internal/request/forward/place.go
+++ b/internal/request/forward/place.go
@@ -59,10 +59,10 @@
 		return nil, nil
 	}
 	hasTurn, ok := c.forwarder.config.Servers.TakeTurn(server.ID)
-	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	if !ok {
 		// Another request of this instance took the turn.
 		return nil, nil
 	}
+	c.query.Avoid = append(c.query.Avoid, choice.Server)
 	return &placed{at: now, choice: choice, server: server, attempt: balancer.StartAttempt(now, c.query, choice), hasTurn: hasTurn}, nil
 }
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -295,6 +296,10 @@
 		if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
 			c.forwarder.config.Servers.MarkRefused(server.Incarnation())
 		}
+		if errors.Is(failure.Cause, direct.ErrNotConfirmed) {
+			// The server got nothing, so that the request may wait for its next turn there.
+			c.query.Avoid = slices.DeleteFunc(c.query.Avoid, func(id ident.Endpoint) bool { return id == server.ID })
+		}
 		if failure.Unreachable {
 			return undelivered, placement.Unreachable
 		}
