A request ends with the connection that had to go

What callers saw: while callers that send bytes behind their requests hold all connections of a router, each new caller waits up to two seconds for its connection: 16 of them 32 s. The log tells of a refused head for each connection that had to go while its head arrived.

Cause: net/http does not notice the end of a connection while bytes behind the request are unread, so that the request runs on, and the new connection waits for it. A holder that had to go before got the same error as one without room.

Change: the context of the request ends with its connection; ErrDismissed is an error of its own.

--- a/internal/process/holdings/account.go
+++ b/internal/process/holdings/account.go
@@ -7,8 +7,11 @@
 	"github.com/samber/oops"
 )
 
-// ErrNoRoom is returned while callers hold as much as they may.
-var ErrNoRoom = oops.Errorf("no room for what the caller sends")
+// ErrNoRoom is returned while callers hold as much as they may. ErrDismissed is the ErrNoRoom of a holding that had to go before.
+var (
+	ErrNoRoom    = oops.Errorf("no room for what the caller sends")
+	ErrDismissed = oops.Wrapf(ErrNoRoom, "had to go")
+)
 
 // Event describes a holder that had to go, or that got no room.
 type Event struct {
@@ -140,7 +143,7 @@
 	}
 }
 
-// awaitFreed waits, at most for leaveTimeout, while those that had to go still hold what others were granted. The error is ErrNoRoom if the holding itself
+// awaitFreed waits, at most for leaveTimeout, while those that had to go still hold what others were granted. The error is ErrDismissed if the holding itself
 // has to go meanwhile.
 func (h *Holding) awaitFreed() error {
 	var timeout <-chan time.Time
@@ -169,7 +172,7 @@
 	defer a.mu.Unlock()
 	switch {
 	case h.dismissed:
-		return nil, ErrNoRoom
+		return nil, ErrDismissed
 	case a.leaving.bytes == 0 && a.leaving.connections == 0, a.ledger.fits(a.leaving.bytes, a.leaving.connections):
 		return nil, nil
 	default:
@@ -210,14 +213,16 @@
 	defer h.account.mu.Unlock()
 	now := time.Now()
 	toLeave, ok := h.account.ledger.Grow(now, h.holder, bytes)
-	if ok {
+	switch {
+	case ok:
 		h.account.dismiss(now, toLeave)
 		return nil
-	}
-	if h.holder.index != gone {
+	case h.holder.index == gone:
+		return ErrDismissed
+	default:
 		h.account.config.Observe(h.event(now, true))
+		return ErrNoRoom
 	}
-	return ErrNoRoom
 }
 
 // TryGrow lets the holding hold more if nothing has to go for that, and reports whether it did.
@@ -250,7 +255,7 @@
 	h.account.ledger.Move(time.Now(), h.holder, bytes)
 }
 
-// Settle keeps the holding from having to go; the error is ErrNoRoom if it had to go before.
+// Settle keeps the holding from having to go; the error is ErrDismissed if it had to go before.
 func (h *Holding) Settle() error { return h.settle(true) }
 
 // Unsettle is the opposite of Settle.
@@ -263,7 +268,7 @@
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	if !h.account.ledger.Settle(h.holder, settled) {
-		return ErrNoRoom
+		return ErrDismissed
 	}
 	return nil
 }
--- a/internal/process/holdings/account_test.go
+++ b/internal/process/holdings/account_test.go
@@ -1,6 +1,7 @@
 package holdings
 
 import (
+	"errors"
 	"sync"
 	"testing"
 
@@ -50,8 +51,9 @@
 	is.NoErr(err)
 	is.NoErr(second.Settle())
 	is.Equal(left, 1)
-	is.Equal(first.Grow(1), ErrNoRoom)
-	is.Equal(first.Settle(), ErrNoRoom)
+	is.Equal(first.Grow(1), ErrDismissed)
+	is.Equal(first.Settle(), ErrDismissed)
+	is.True(errors.Is(ErrDismissed, ErrNoRoom))
 	first.Close()
 	_, err = account.Open(Body, "third", 600, nil)
 	is.Equal(err, ErrNoRoom)
--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +43,8 @@
 type held struct {
 	account *holdings.Account
 	holding *holdings.Holding
+	// cancelRequest ends the context of the request that runs, nil if none does.
+	cancelRequest atomic.Pointer[context.CancelFunc]
 	// headBytes is how many bytes have been read of the header that arrives now.
 	headBytes atomic.Int64
 }
@@ -72,10 +75,18 @@
 	}
 	var err error
 	c.account = account
-	c.holding, err = account.Open(holdings.Connection, c.RemoteAddr().String(), c.baseBytes(), func() { _ = c.Conn.Close() })
+	c.holding, err = account.Open(holdings.Connection, c.RemoteAddr().String(), c.baseBytes(), c.leave)
 	return err == nil
 }
 
+// leave ends the connection and the request that it carries. net/http would not notice the end while bytes behind the request are unread.
+func (c *deadlineConn) leave() {
+	_ = c.Conn.Close()
+	if cancel := c.cancelRequest.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // baseBytes is what the connection holds without a request.
 func (c *deadlineConn) baseBytes() holdings.Bytes {
 	if c.encrypted {
@@ -91,7 +102,7 @@
 }
 
 // SetDismissible sets whether the connection of a request may have to go for others although it carries the request, as long as its handler does not know who
-// the caller is. The error is holdings.ErrNoRoom if it had to go before.
+// the caller is. The error is holdings.ErrDismissed if it had to go before.
 func SetDismissible(ctx context.Context, dismissible bool) error {
 	conn := plainConn(ctx.Value(connKey{}))
 	switch {
@@ -139,9 +150,12 @@
 	if !c.encrypted {
 		memory = holdings.Bytes(len(read)) + holdings.LineBytes*holdings.Bytes(bytes.Count(read, []byte{'\n'}))
 	}
+	err := c.holding.Grow(memory)
 	switch {
-	case c.holding.Grow(memory) != nil:
-		return c.refuseHead(http.StatusServiceUnavailable, holdings.ErrNoRoom.Error(), c.account.RetryAfter())
+	case errors.Is(err, holdings.ErrDismissed):
+		return err
+	case err != nil:
+		return c.refuseHead(http.StatusServiceUnavailable, err.Error(), c.account.RetryAfter())
 	case !c.encrypted && c.headBytes.Load() > c.maxHead():
 		return c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, "head is larger than allowed", 0)
 	default:
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -253,6 +253,39 @@
 	is.True(int64(account.Bytes()-before) >= 32<<10)
 }
 
+// TestRequestsWithBytesBehindMakeWay guards against connections that have to go, but whose requests run on unaware of that, so that each new connection waits
+// for one of them.
+func TestRequestsWithBytesBehindMakeWay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 16
+	var running atomic.Int64
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			running.Add(1)
+			<-r.Context().Done()
+		}
+		greet(w, r)
+	})})
+	var conns []net.Conn
+	for range limit {
+		conns = append(conns, dial(t, address))
+		_, _ = io.WriteString(conns[len(conns)-1], "GET /wait HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	}
+	eventually(t, "all requests run", func() bool { return running.Load() == limit })
+	for _, conn := range conns {
+		_, _ = io.WriteString(conn, "GET /")
+	}
+	eventually(t, "bytes behind all requests are held", func() bool { return account.Bytes() >= limit*(holdings.ConnectionBytes+32<<10) })
+	start := time.Now()
+	for range limit {
+		status, _, _ := exchange(dial(t, address), plainRequest)
+		is.Equal(status, http.StatusOK)
+	}
+	is.True(time.Since(start) < limit*time.Second/2)
+}
+
 // TestUnreadBodyDoesNotKeepConnection guards against callers that keep a goroutine by a short body without its end, once its handler has returned.
 func TestUnreadBodyDoesNotKeepConnection(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/request.go
+++ b/internal/process/listener/request.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -28,6 +29,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if conn != nil {
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			conn.cancelRequest.Store(&cancel)
+			defer conn.cancelRequest.Store(nil)
+			r = r.WithContext(ctx)
+		}
 		if conn != nil && conn.encrypted {
 			conn.holding.Shrink(conn.baseBytes() + headMemory(r))
 		}
