New connections don't wait for those that only linger

What callers saw: while callers send bodies that are refused, or have to go, each new connection waits up to half a second for one of them: 64 such callers keep an ordinary one out for over 20 s.

Cause: net/http keeps a connection open for half a second after a refusal, so that its caller can read it. The connection still counted as held until then, also when it had to go.

Change: once the last response is written, little is left of what a connection holds: it may have to go, and nobody waits for it. One that had to go while its handler ran is free once that has returned. The sending side is closed at the start of that half second, as net/http intends.

Failed before: TestRefusedBodiesMakeWay (20 s without an answer), TestEndedHoldingsAreNotAwaited uses the new call.

--- a/internal/process/holdings/account.go
+++ b/internal/process/holdings/account.go
@@ -54,8 +54,8 @@
 	holder  *Holder
 	peer    string
 	leave   func()
-	// dismissed is set from when the holding had to go until it is closed; guarded by the account's mu.
-	dismissed bool
+	// dismissed is set from when the holding had to go until it is closed, and ending by End; both are guarded by the account's mu.
+	dismissed, ending bool
 }
 
 // leaveTimeout bounds how long a holding waits for those that had to go: their memory is free only once their goroutines have ended.
@@ -130,10 +130,12 @@
 	for _, each := range toLeave {
 		holding := a.holdings[each]
 		delete(a.holdings, each)
-		holding.dismissed = true
-		a.leaving.bytes += each.left
-		if each.kind == Connection {
-			a.leaving.connections++
+		if !holding.ending {
+			holding.dismissed = true
+			a.leaving.bytes += each.left
+			if each.kind == Connection {
+				a.leaving.connections++
+			}
 		}
 		a.config.Observe(holding.event(now, false))
 		holding.leave()
@@ -273,6 +275,30 @@
 	return nil
 }
 
+// IsDismissed reports whether the holding had to go and is not closed yet.
+func (h *Holding) IsDismissed() bool {
+	if h == nil {
+		return false
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.dismissed
+}
+
+// End says that little is left of the holding but an open connection: it may have to go for others, and nobody waits for it then.
+func (h *Holding) End() {
+	if h == nil {
+		return
+	}
+	if h.Unsettle() != nil {
+		h.Close()
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.ending = true
+}
+
 // Shrink lets the holding hold only so many bytes from now on.
 func (h *Holding) Shrink(bytes Bytes) {
 	if h == nil {
--- a/internal/process/holdings/account_test.go
+++ b/internal/process/holdings/account_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -69,6 +70,26 @@
 	is.Equal(account.Bytes(), Bytes(0))
 }
 
+// TestEndedHoldingsAreNotAwaited guards against waiting for what is closed late but holds little.
+func TestEndedHoldingsAreNotAwaited(t *testing.T) {
+	is := is.New(t)
+	account := New(Config{Limits: Limits{Bytes: 1 << 20, Largest: 1 << 20, Connections: 1}})
+	left := false
+	first, err := account.Open(Connection, "", 1, func() { left = true })
+	is.NoErr(err)
+	is.NoErr(first.Settle())
+	first.End()
+	start := time.Now()
+	second, err := account.Open(Connection, "", 1, func() {})
+	is.NoErr(err)
+	is.True(left)
+	is.True(time.Since(start) < leaveTimeout/2)
+	first.Close()
+	is.Equal(account.Connections(), 1)
+	second.Close()
+	is.Equal(account.Connections(), 0)
+}
+
 // TestNilAccountBoundsNothing checks that a process without limits needs no checks at the places that hold something.
 func TestNilAccountBoundsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/process/listener/conn.go
+++ b/internal/process/listener/conn.go
@@ -92,6 +92,17 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side. net/http calls it when it has written the last response, and then keeps the connection open for a short time, so that the
+// caller can read the response although it still sends.
+func (c *deadlineConn) CloseWrite() error {
+	c.holding.End()
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || c.writeFailed.Load() {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 func (c *deadlineConn) endResponse() {
 	if c.incomplete != nil {
 		c.incomplete.end(c)
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// TestRefusedBodiesMakeWay guards against connections that net/http keeps open for half a second after a refusal, so that each new one waits for one of them.
+func TestRefusedBodiesMakeWay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 16
+	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		greet(w, r)
+	})})
+	const unfinished = "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1000000\r\n\r\n"
+	start := time.Now()
+	for range 4 * limit {
+		_, _ = io.WriteString(dial(t, address), unfinished+strings.Repeat("b", 500))
+	}
+	status, _, _ := exchange(dial(t, address), plainRequest)
+	is.Equal(status, http.StatusOK)
+	is.True(time.Since(start) < limit*time.Second/2)
+}
+
 // TestBodyByteByByte guards against taking the pieces of a slow caller's body for bytes behind the request.
 func TestBodyByteByByte(t *testing.T) {
 	t.Parallel()
--- a/internal/process/listener/request.go
+++ b/internal/process/listener/request.go
@@ -44,13 +44,21 @@
 		}
 		defer func() {
 			if conn != nil && phase(conn.phase.Load()) != hijacked {
-				_ = conn.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
+				conn.handlerEnded()
 			}
 		}()
 		next.ServeHTTP(w, r)
 	})
 }
 
+// handlerEnded limits how long net/http reads the rest of the body, and frees what the request held if its connection had to go.
+func (c *deadlineConn) handlerEnded() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	if c.holding.IsDismissed() {
+		c.holding.Close()
+	}
+}
+
 // receiveBody lets the connection go for others until the body has been read. Its buffer is larger meanwhile, if the body is large and there is room for that.
 func (c *deadlineConn) receiveBody(r *http.Request) {
 	const more = unreadFactor * (bodyBuffer - receiveBuffer)
