Holdings don't wait for each other

What callers saw: beside a crowd of unfinished bodies of 256 KiB an ordinary caller waits 4.5 to 9 s for its response, in steps of a second.

Cause: a body that waits for room is not told that its own connection had to go, and others wait for that connection; so does a body that is about to be read and holds nothing yet. Each waits until its timeout of a second.

Change: the end of the request's context ends the wait of its body, and who asks for nothing does not wait.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
+	holding.CancelBy(r.Context().Done())
 	_ = control.SetReadDeadline(config.Deadline)
 	reading := reader{
 		body: &Body{holding: holding}, source: r.Body, remaining: r.ContentLength, limit: largest, copies: holdings.Bytes(max(config.Copies, 1)),
--- a/internal/body/charge.go
+++ b/internal/body/charge.go
@@ -32,6 +32,7 @@
 			return
 		}
 		defer holding.Close()
+		holding.CancelBy(r.Context().Done())
 		_ = control.SetReadDeadline(time.Now().Add(config.Timeout))
 		r.Body = &charged{ReadCloser: r.Body, holding: holding, copies: holdings.Bytes(max(config.Copies, 1)), onEnd: func() {
 			_ = control.SetReadDeadline(time.Time{})
--- a/internal/process/holdings/account.go
+++ b/internal/process/holdings/account.go
@@ -54,6 +54,8 @@
 	holder  *Holder
 	peer    string
 	leave   func()
+	// canceled ends waits of the holding; nil never does.
+	canceled <-chan struct{}
 	// dismissed is set from when the holding had to go until it is closed, and ending by End; both are guarded by the account's mu.
 	dismissed, ending bool
 }
@@ -103,6 +105,9 @@
 	if opened == nil {
 		return nil, ErrNoRoom
 	}
+	if bytes == 0 {
+		return opened, nil
+	}
 	if err := opened.awaitFreed(); err != nil {
 		opened.Close()
 		return nil, err
@@ -146,7 +151,7 @@
 }
 
 // awaitFreed waits, at most for leaveTimeout, while those that had to go still hold what others were granted. The error is ErrDismissed if the holding itself
-// has to go meanwhile.
+// has to go meanwhile, and ErrNoRoom if it was canceled.
 func (h *Holding) awaitFreed() error {
 	var timeout <-chan time.Time
 	for {
@@ -161,6 +166,8 @@
 		}
 		select {
 		case <-changed:
+		case <-h.canceled:
+			return ErrNoRoom
 		case <-timeout:
 			return nil
 		}
@@ -199,6 +206,14 @@
 	return event
 }
 
+// CancelBy has Grow fail instead of waiting once the channel is closed. A body is canceled by the end of its connection: others may wait for that connection,
+// which does not end while its body waits for them.
+func (h *Holding) CancelBy(canceled <-chan struct{}) {
+	if h != nil {
+		h.canceled = canceled
+	}
+}
+
 // Grow lets the holding hold more. It waits a short time until those that had to go are closed. The error is ErrNoRoom.
 func (h *Holding) Grow(bytes Bytes) error {
 	if h == nil || bytes <= 0 {
--- a/internal/process/holdings/account_test.go
+++ b/internal/process/holdings/account_test.go
@@ -90,6 +90,25 @@
 	is.Equal(account.Connections(), 0)
 }
 
+// TestCanceledHoldingDoesNotWait guards against holdings that wait for each other: a body for a connection that had to go, and that connection for a body.
+func TestCanceledHoldingDoesNotWait(t *testing.T) {
+	is := is.New(t)
+	account := New(Config{Limits: Limits{Bytes: 1000, Largest: 2000, Connections: 4}})
+	leaving, err := account.Open(Body, "", 600, func() {})
+	is.NoErr(err)
+	waiting, err := account.Open(Body, "", 1, func() {})
+	is.NoErr(err)
+	canceled := make(chan struct{})
+	waiting.CancelBy(canceled)
+	start := time.Now()
+	time.AfterFunc(20*time.Millisecond, func() { close(canceled) })
+	is.Equal(waiting.Grow(500), ErrNoRoom)
+	is.True(time.Since(start) < leaveTimeout/2)
+	leaving.Close()
+	waiting.Close()
+	is.Equal(account.Bytes(), Bytes(0))
+}
+
 // TestNilAccountBoundsNothing checks that a process without limits needs no checks at the places that hold something.
 func TestNilAccountBoundsNothing(t *testing.T) {
 	is := is.New(t)
