Connections that are not accepted yet are bounded by the memory

What callers saw: 1,500 clients that send heads of 64,000 bytes make a router of 88 MiB, the smallest machine of the users' deployments, take 97 MiB; 36 MiB of that are in connections that it has not read, half of which it has not accepted.

Cause: the buffer of a connection had 16 KiB whatever the memory, and the kernel queues up to 4,096 of them.

Change: a connection's buffer has 1/4096 of what callers may hold, from 4 to 16 KiB.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -123,7 +123,7 @@
 	}
 	for _, crowd := range crowds {
 		t.Run(crowd.name, func(t *testing.T) {
-			r := startRouter(t, memoryMB)
+			r := startRouter(t, memoryMB, maxDescriptors)
 			check(t, r.process, bounds{memoryMB: memoryMB, sockets: maxDescriptors - fileDescriptors}, crowd, r.ordinaryRequest)
 		})
 	}
@@ -166,11 +166,21 @@
 	}
 }
 
+// TestUnacceptedConnections does what TestCrowd does with more clients than the router accepts connections, on a machine whose descriptors are no bound:
+// those that it has not accepted yet hold memory, too.
+func TestUnacceptedConnections(t *testing.T) {
+	const clients, memory, descriptors = 1500, 88, 4100
+	r := startRouter(t, memory, descriptors)
+	check(t, r.process, bounds{memoryMB: memory, sockets: descriptors - fileDescriptors}, crowd{clients: clients, act: func(conn net.Conn, id string) error {
+		return write(conn, requestHead("GET", "/p/", "right", id)+"X-Long: "+strings.Repeat("y", 64_000))
+	}}, r.ordinaryRequest)
+}
+
 // TestLargestRequest checks that a request of the greatest legal size is served in calm on small machines, with a length and in chunks.
 func TestLargestRequest(t *testing.T) {
 	for _, size := range []int{48, 88} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			r := startRouter(t, size)
+			r := startRouter(t, size, maxDescriptors)
 			stop := r.watch()
 			for _, send := range []func(net.Conn, string) error{
 				func(conn net.Conn, id string) error { return sendBody(conn, id, maxBodyBytes, 64<<10) },
--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// startRouter starts a process with so much memory, and waits until it is ready.
-func startRouter(t *testing.T, memory int) *router {
+// startRouter starts a process with so much memory, in MiB, and so many descriptors, and waits until it is ready.
+func startRouter(t *testing.T, memory, descriptors int) *router {
 	t.Helper()
 	store, duties, server := platformtest.NewStore(), platformtest.NewDuties(), httptest.NewServer(http.HandlerFunc(serve))
 	t.Cleanup(store.Close)
@@ -70,7 +70,7 @@
 		PeerPort:     strconv.Itoa(int(netip.MustParseAddrPort(addresses[2]).Port())),
 		StoreAddress: store.Address(), DutiesAddress: duties.Address(),
 		Revoke: 5 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, Contact: 3 * time.Second,
-		UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second, MemoryMB: memory, MaxDescriptors: maxDescriptors,
+		UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second, MemoryMB: memory, MaxDescriptors: descriptors,
 	}) + "Bootstrap=true\n"
 	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -22,10 +22,13 @@
 const (
 	// headTolerance is how much more than a header's limit is read: the request line, and what arrives together with the end of the header.
 	headTolerance = 8 << 10
-	// receiveBuffer is the size of a connection's buffer for bytes that are not read yet, also before it is accepted, and bodyBuffer that of one that
-	// carries a larger body.
-	receiveBuffer = 16 << 10
-	bodyBuffer    = 64 << 10
+	// minReceiveBuffer and maxReceiveBuffer bound the size of a connection's buffer for bytes that are not read yet, also before it is accepted, and
+	// bodyBuffer is that of one that carries a larger body.
+	minReceiveBuffer = 4 << 10
+	maxReceiveBuffer = 16 << 10
+	bodyBuffer       = 64 << 10
+	// maxUnaccepted is how many connections Linux queues for a listener at most, by default.
+	maxUnaccepted = 4096
 	// unreadFactor is how much of the kernel's memory a buffer may use in relation to its size.
 	unreadFactor = 2
 	// tlsBytes is the memory of the state of a TLS connection.
@@ -43,12 +46,22 @@
 type held struct {
 	account *holdings.Account
 	holding *holdings.Holding
+	// receiveBuffer is the size of the buffer while no larger body arrives, in bytes.
+	receiveBuffer int
 	// cancelRequest ends the context of the request that runs, nil if none does.
 	cancelRequest atomic.Pointer[context.CancelFunc]
 	// headBytes is how many bytes have been read of the header that arrives now.
 	headBytes atomic.Int64
 }
 
+// receiveBuffer returns the size of a connection's buffer: those of the connections that are not accepted yet take together no more than what callers may hold.
+func receiveBuffer(account *holdings.Account) int {
+	if account == nil {
+		return maxReceiveBuffer
+	}
+	return min(max(int(account.Limits().Bytes/maxUnaccepted), minReceiveBuffer), maxReceiveBuffer)
+}
+
 // setReceiveBuffer sets the size of the buffer of the connections that a socket accepts.
 func setReceiveBuffer(socket net.Listener, bytes int) error {
 	connections, ok := socket.(syscall.Conn)
@@ -70,6 +83,7 @@
 
 // hold opens the connection's holding; it returns false if there is no room.
 func (c *deadlineConn) hold(account *holdings.Account) bool {
+	c.receiveBuffer = receiveBuffer(account)
 	if account == nil {
 		return true
 	}
@@ -177,7 +191,7 @@
 // holdUnread counts the bytes behind a request that runs. The connection may have to go then, although it carries a request.
 func (c *deadlineConn) holdUnread() error {
 	_ = c.holding.Unsettle()
-	if c.holding.Grow(unreadFactor*receiveBuffer) != nil {
+	if c.holding.Grow(holdings.Bytes(unreadFactor*c.receiveBuffer)) != nil {
 		return errHeadRefused
 	}
 	return nil
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -75,7 +75,7 @@
 			return nil, oops.Wrapf(err, "listen on %s", config.Address)
 		}
 	}
-	if err := setReceiveBuffer(socket, receiveBuffer); err != nil {
+	if err := setReceiveBuffer(socket, receiveBuffer(config.Holdings)); err != nil {
 		return nil, oops.Wrapf(err, "set the receive buffer of %s", config.Address)
 	}
 	if config.IdleTimeout == 0 {
--- a/internal/process/listener/request.go
+++ b/internal/process/listener/request.go
@@ -61,15 +61,15 @@
 
 // receiveBody lets the connection go for others until the body has been read. Its buffer is larger meanwhile, if the body is large and there is room for that.
 func (c *deadlineConn) receiveBody(r *http.Request) {
-	const more = unreadFactor * (bodyBuffer - receiveBuffer)
+	more := holdings.Bytes(unreadFactor * (bodyBuffer - c.receiveBuffer))
 	sized, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
-	isLarge := r.ContentLength < 0 || r.ContentLength > receiveBuffer
+	isLarge := r.ContentLength < 0 || r.ContentLength > int64(c.receiveBuffer)
 	enlarged := ok && isLarge && c.holding.TryGrow(more) && sized.SetReadBuffer(bodyBuffer) == nil
 	_ = c.holding.Unsettle()
 	r.Body = &receivedBody{ReadCloser: r.Body, onEnd: func(err error) {
 		if enlarged {
 			// An error means that the connection is closed already.
-			_ = sized.SetReadBuffer(receiveBuffer)
+			_ = sized.SetReadBuffer(c.receiveBuffer)
 			c.holding.Release(more)
 		}
 		if errors.Is(err, io.EOF) {
