--- a/internal/process/holdings/limits.go
+++ b/internal/process/holdings/limits.go
@@ -9,6 +9,13 @@
 	LineBytes       Bytes = 256
 )
 
+// softLimitFraction is the fraction of the memory above which the garbage collector runs more often. Callers and the process itself hold less, so that it
+// can rest.
+const softLimitFraction = 0.6
+
+// SoftLimit returns the soft limit of a process with so much memory.
+func SoftLimit(memory Bytes) Bytes { return Bytes(softLimitFraction * float64(memory)) }
+
 // Limits bound what the holders of a Ledger hold together.
 type Limits struct {
 	// Bytes bounds the bytes of all holders. A single large holder may exceed it, up to Largest.
--- a/internal/role/member/holdings.go
+++ b/internal/role/member/holdings.go
@@ -22,9 +22,6 @@
 	MaxDescriptors int64 `yaml:"max_descriptors"`
 }
 
-// softMemoryLimitFraction is the fraction of the memory above which the garbage collector runs more often.
-const softMemoryLimitFraction = 0.6
-
 // Check returns an error if a limit is invalid.
 func (l Limits) Check() error {
 	if l.MemoryMB < 0 {
@@ -70,7 +67,7 @@
 	memory, descriptors := limits.memory(), limits.descriptors()
 	if memory > 0 {
 		goMemoryLimit()
-		debug.SetMemoryLimit(int64(softMemoryLimitFraction * float64(memory)))
+		debug.SetMemoryLimit(int64(holdings.SoftLimit(memory)))
 	} else {
 		memory = holdings.DefaultMemory
 	}
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -111,9 +111,6 @@
 	shares     *perService[*fairshare.Controller]
 }
 
-// softMemoryLimitFraction is the fraction of the memory limit above which the garbage collector runs more often.
-const softMemoryLimitFraction = 0.6
-
 // Start starts a router, which runs until Stop is called.
 func Start(ctx context.Context, config Config) (*Router, error) {
 	settings := config.Settings
@@ -121,7 +118,7 @@
 		return nil, oops.Errorf("settings of %s: the addresses for callers and for readiness probes must be set", settings.Process)
 	}
 	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(softMemoryLimitFraction * float64(settings.MemoryLimit)))
+		debug.SetMemoryLimit(int64(holdings.SoftLimit(holdings.Bytes(settings.MemoryLimit))))
 	}
 	incarnation, err := ident.NewIncarnation(settings.Process, time.Now(), rand.Reader)
 	if err != nil {
