--- a/internal/process/holdings/account.go
+++ b/internal/process/holdings/account.go
@@ -95,8 +95,8 @@
 	return a.ledger.RetryAfter()
 }
 
-// Open opens a holding. leave is called once if it has to go for others, until it is settled or closed; it must neither block nor call the account, and
-// lead to Close. Open waits a short time until those that had to go are closed. The error is ErrNoRoom.
+// Open opens a holding. leave is called at most once, if the holding has to go for others; it must neither block nor call the account, and has to make the
+// owner call Close soon. Open waits a short time until those that had to go are closed. The error is ErrNoRoom.
 func (a *Account) Open(kind Kind, peer string, bytes Bytes, leave func()) (*Holding, error) {
 	if a == nil {
 		return nil, nil
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -329,6 +329,7 @@
 	if refused := c.readBody(limits); refused != nil {
 		return refused
 	}
+	// The configuration may have changed while the body arrived.
 	if refused := c.authorize(); refused != nil {
 		return refused
 	}
