--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -74,13 +74,10 @@
 		return nil, ErrTooLarge
 	}
 	control := http.NewResponseController(w)
-	leave := func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }
-	holding, err := config.Account.Open(holdings.Body, r.RemoteAddr, 0, leave)
+	holding, err := open(config.Account, control, r, config.Deadline)
 	if err != nil {
 		return nil, err
 	}
-	holding.CancelBy(r.Context().Done())
-	_ = control.SetReadDeadline(config.Deadline)
 	reading := reader{
 		body: &Body{holding: holding}, source: r.Body, remaining: r.ContentLength, limit: largest, copies: holdings.Bytes(max(config.Copies, 1)),
 	}
@@ -100,6 +97,17 @@
 	return reading.body, nil
 }
 
+// open opens the holding of a body that must arrive by the deadline. Reading the body fails once it has to go.
+func open(account *holdings.Account, control *http.ResponseController, r *http.Request, deadline time.Time) (*holdings.Holding, error) {
+	holding, err := account.Open(holdings.Body, r.RemoteAddr, 0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	if err != nil {
+		return nil, err
+	}
+	holding.CancelBy(r.Context().Done())
+	_ = control.SetReadDeadline(deadline)
+	return holding, nil
+}
+
 // readError returns the error of Read for an error of the connection or of the account.
 func readError(err error, hadToGo bool) error {
 	switch {
--- a/internal/body/charge.go
+++ b/internal/body/charge.go
@@ -26,14 +26,12 @@
 			return
 		}
 		control := http.NewResponseController(w)
-		holding, err := config.Account.Open(holdings.Body, r.RemoteAddr, 0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+		holding, err := open(config.Account, control, r, time.Now().Add(config.Timeout))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		defer holding.Close()
-		holding.CancelBy(r.Context().Done())
-		_ = control.SetReadDeadline(time.Now().Add(config.Timeout))
 		r.Body = &charged{ReadCloser: r.Body, holding: holding, copies: holdings.Bytes(max(config.Copies, 1)), onEnd: func() {
 			_ = control.SetReadDeadline(time.Time{})
 		}}
--- a/internal/process/listener/held.go
+++ b/internal/process/listener/held.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -208,7 +207,7 @@
 	}
 	fields := "Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"
 	if retryAfter > 0 {
-		fields += "Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64) + "\r\n"
+		fields += "Retry-After: " + formatSeconds(retryAfter) + "\r\n"
 	}
 	end := time.Now().Add(refusalTimeout)
 	_ = c.SetDeadline(end)
--- a/internal/process/listener/request.go
+++ b/internal/process/listener/request.go
@@ -15,42 +15,52 @@
 func holdRequest(account *holdings.Account, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := plainConn(r.Context().Value(connKey{}))
-		if r.ProtoMajor > 1 {
-			if conn != nil {
-				conn.holding.Shrink(conn.baseBytes())
-			}
-			holding, err := account.Open(holdings.Stream, r.RemoteAddr, headMemory(r), func() {})
-			if err != nil {
-				refuseStream(w, account.RetryAfter())
-				return
-			}
-			_ = holding.Settle()
-			defer holding.Close()
+		switch {
+		case conn == nil:
 			next.ServeHTTP(w, r)
-			return
+		case r.ProtoMajor > 1:
+			conn.holding.Shrink(conn.baseBytes())
+			serveStream(account, next, w, r)
+		default:
+			conn.serve(next, w, r)
 		}
-		if conn != nil {
-			ctx, cancel := context.WithCancel(r.Context())
-			defer cancel()
-			conn.cancelRequest.Store(&cancel)
-			defer conn.cancelRequest.Store(nil)
-			r = r.WithContext(ctx)
-		}
-		if conn != nil && conn.encrypted {
-			conn.holding.Shrink(conn.baseBytes() + headMemory(r))
-		}
-		if conn != nil && r.ContentLength != 0 {
-			conn.receiveBody(r)
-		}
-		defer func() {
-			if conn != nil && phase(conn.phase.Load()) != hijacked {
-				conn.handlerEnded()
-			}
-		}()
-		next.ServeHTTP(w, r)
 	})
 }
 
+// serveStream serves a request that shares its connection with others.
+func serveStream(account *holdings.Account, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	holding, err := account.Open(holdings.Stream, r.RemoteAddr, headMemory(r), func() {})
+	if err != nil {
+		w.Header().Set("Retry-After", formatSeconds(account.RetryAfter()))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_ = holding.Settle()
+	defer holding.Close()
+	next.ServeHTTP(w, r)
+}
+
+// serve serves a request that has the connection for itself.
+func (c *deadlineConn) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	c.cancelRequest.Store(&cancel)
+	defer c.cancelRequest.Store(nil)
+	r = r.WithContext(ctx)
+	if c.encrypted {
+		c.holding.Shrink(c.baseBytes() + headMemory(r))
+	}
+	if r.ContentLength != 0 {
+		c.receiveBody(r)
+	}
+	defer func() {
+		if phase(c.phase.Load()) != hijacked {
+			c.handlerEnded()
+		}
+	}()
+	next.ServeHTTP(w, r)
+}
+
 // handlerEnded limits how long net/http reads the rest of the body, and frees what the request held if its connection had to go.
 func (c *deadlineConn) handlerEnded() {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTimeout))
@@ -106,8 +116,7 @@
 	return memory
 }
 
-// refuseStream responds to a request for whose header there is no room.
-func refuseStream(w http.ResponseWriter, retryAfter time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	http.Error(w, holdings.ErrNoRoom.Error(), http.StatusServiceUnavailable)
+// formatSeconds returns the value of Retry-After.
+func formatSeconds(after time.Duration) string {
+	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
 }
