Crowds: what a router counts as held returns to nothing

The tests checked what a process uses at its peak, not whether room is given back on every way out: after each of the 19 crowds at a router, whose clients are refused, closed, timed out or leave, its metrics have to count 0 bytes and 0 connections.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -125,6 +125,9 @@
 		t.Run(crowd.name, func(t *testing.T) {
 			r := startRouter(t, memoryMB, maxDescriptors)
 			check(t, r.process, bounds{memoryMB: memoryMB, sockets: maxDescriptors - fileDescriptors}, crowd, r.ordinaryRequest)
+			if err := r.awaitNothingHeld(); err != nil {
+				t.Error(err)
+			}
 		})
 	}
 }
--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -35,7 +36,7 @@
 // router is a router process.
 type router struct {
 	*process
-	ready string
+	ready, metrics string
 }
 
 func routerConfiguration() platform.Configuration {
@@ -63,7 +64,7 @@
 	store.Put(platform.ServersTable, "i-1", platform.Server{
 		Service: "s", Address: server.Listener.Addr().String(), Domain: "a", State: platform.ServerReady, Slots: 64, StartedUnixMS: 1,
 	})
-	addresses := freeAddresses(t, 3)
+	addresses := freeAddresses(t, 4)
 	settings := filepath.Join(t.TempDir(), "settings")
 	content := platformtest.Settings(platformtest.SettingsConfig{
 		Process: "front-a", CallersAddress: addresses[0], ReadyAddress: addresses[1],
@@ -75,7 +76,11 @@
 	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	r := &router{process: start(t, nil, addresses[0], "router", "--settings", settings), ready: addresses[1]}
+	_, metricsPort, _ := strings.Cut(addresses[3], ":")
+	r := &router{
+		process: start(t, nil, addresses[0], "router", "--settings", settings, "--metrics-port", metricsPort),
+		ready:   addresses[1], metrics: addresses[3],
+	}
 	r.servers = server.Listener.Addr().String()
 	for end := time.Now().Add(readyTimeout); !r.isReady(); time.Sleep(watchInterval) {
 		if time.Now().After(end) {
@@ -125,6 +130,29 @@
 	}, digestOf(body))
 }
 
+// awaitNothingHeld waits until the router counts nothing that callers hold.
+func (r *router) awaitNothingHeld() error {
+	var found string
+	for end := time.Now().Add(ordinaryTimeout); time.Now().Before(end); time.Sleep(watchInterval) {
+		response, err := http.Get("http://" + r.metrics + "/metrics")
+		if err != nil {
+			return err
+		}
+		content, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return err
+		}
+		found = strings.Join(heldMetric.FindAllString(string(content), -1), ", ")
+		if found == "vanillapond_router_caller_bytes 0, vanillapond_router_caller_connections 0" {
+			return nil
+		}
+	}
+	return fmt.Errorf("after the crowd: found %s, want 0 bytes and 0 connections", found)
+}
+
+var heldMetric = regexp.MustCompile(`(?m)^vanillapond_router_caller_(?:bytes|connections) .*$`)
+
 // serveLargest sends a request whose body is maxBodyBytes long.
 func (r *router) serveLargest(send func(net.Conn, string) error) error {
 	status, got, err := r.roundTrip(func(conn net.Conn) error { return send(conn, "largest") })
