One way to read bodies: operators and other entries are refused like callers

Read again: Charge held what handlers read by themselves, beside Read, which reads for them. A body without room reached the operators' API as a failed read, which is no 503, and an entry's query got 503 without Retry-After.

Change: the node reads queries with body.Read, after it has checked the secret, within the time for which their sender waits; NewHandler reads the bodies of operators' requests before their API gets them. Both refuse with 503 and Retry-After, 408 or 413.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -32,6 +32,7 @@
 	"vanillapond/internal/version/store"
 	"vanillapond/internal/version/watch"
 	"vanillapond/pkg/configuration"
+	"vanillapond/pkg/operator"
 )
 
 // leaseCallDivisor sets the fraction of a lease's term that a call to the table may take: one third, so that a slow table does not
@@ -169,7 +170,7 @@
 	e.vms = platform.NewCachedVMs(e.client, time.Now)
 	e.peerNode = peer.New(peer.Config{
 		Process: settings.Process, Address: settings.PeerAddress, Domain: settings.Domain, Secret: e.identity.Secret,
-		Replica: e.replica, Gate: e.freshness, Events: e.events, Scheme: settings.urlScheme("http"), HTTP: dialer,
+		Replica: e.replica, Gate: e.freshness, Events: e.events, Scheme: settings.urlScheme("http"), HTTP: dialer, Holdings: e.internal,
 	})
 	var seeds []freshness.Peer
 	for _, configured := range settings.Peers {
@@ -221,13 +222,13 @@
 		return err
 	}
 	if e.operatorListener, err = e.startListener(ctx, listener.Config{
-		Address: settings.OperatorListen, Handler: e.chargeInternal(operatorAPI.Handler()), Holdings: e.internal,
+		Address: settings.OperatorListen, Handler: e.readBodies(operatorAPI.Handler()), Holdings: e.internal,
 	}, settings.OperatorTLS); err != nil {
 		return err
 	}
 	if settings.PeerListen != "" {
 		mux := http.NewServeMux()
-		mux.Handle("POST "+peer.Path, e.chargeInternal(e.peerNode))
+		mux.Handle("POST "+peer.Path, e.peerNode)
 		if e.peerListener, err = e.startListener(ctx, listener.Config{
 			Address: settings.PeerListen, Handler: mux, Holdings: e.internal,
 		}, settings.ProcessTLS); err != nil {
@@ -250,12 +251,14 @@
 	return listener.Start(ctx, config)
 }
 
-// internalBodyTimeout bounds the time in which the body of an operator's or another entry's request must arrive.
-const internalBodyTimeout = 30 * time.Second
+// operatorBodyTimeout bounds the time in which the body of an operator's request must arrive.
+const operatorBodyTimeout = 30 * time.Second
 
-// chargeInternal wraps a handler for operators or other processes, so that the bodies of their requests are bounded together.
-func (e *Entry) chargeInternal(handler http.Handler) http.Handler {
-	return body.Charge(handler, body.ChargeConfig{Account: e.internal, Timeout: internalBodyTimeout})
+// readBodies wraps the operators' API, so that the bodies of its requests are bounded together. A message that is a little too long is left to the API.
+func (e *Entry) readBodies(api http.Handler) http.Handler {
+	return body.NewHandler(body.HandlerConfig{
+		Next: api, Limit: operator.MaxMessageBytes + 1, Timeout: operatorBodyTimeout, Account: e.internal,
+	})
 }
 
 func (e *Entry) privateHandler() http.Handler {
@@ -265,7 +268,7 @@
 	mux.Handle("GET "+event.PathEvents, e.events)
 	mux.Handle("GET "+metrics.Path, e.metrics.Handler())
 	if e.config.Settings.PeerListen == "" {
-		mux.Handle("POST "+peer.Path, e.chargeInternal(e.peerNode))
+		mux.Handle("POST "+peer.Path, e.peerNode)
 	}
 	return mux
 }
--- a/internal/version/peer/node.go
+++ b/internal/version/peer/node.go
@@ -13,8 +13,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"vanillapond/internal/body"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/version/freshness"
 	"vanillapond/internal/version/replica"
 	"vanillapond/internal/version/store"
@@ -43,6 +45,8 @@
 	Events  *event.Recorder
 	// Scheme is the URL scheme of queries, http or https.
 	Scheme string
+	// Holdings bounds the queries that arrive; nil bounds nothing.
+	Holdings *holdings.Account
 	// HTTP is the client that sends queries; nil means http.DefaultClient.
 	HTTP *http.Client
 }
@@ -67,16 +71,13 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
-	}
+	read, err := body.Read(w, r, body.Config{Limit: maxMessage, Deadline: time.Now().Add(queryTimeout), Account: n.config.Holdings})
 	if err != nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		body.Refuse(w, err, n.config.Holdings)
 		return
 	}
-	query, err := decode[Query](body)
+	defer read.Release()
+	query, err := decode[Query](read.Join())
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -152,14 +153,14 @@
 func (n *Node) exchange(ctx context.Context, peer freshness.Peer, records []store.Record) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	body, err := cbor.Marshal(Query{
+	message, err := cbor.Marshal(Query{
 		Process: n.config.Process, Address: n.config.Address, Domain: n.config.Domain,
 		Version: n.config.Replica.Version(), Records: records, Time: n.config.Events.Clock().Now(),
 	})
 	if err != nil {
 		return nil, oops.Wrapf(err, "encode query")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.config.Scheme+"://"+peer.Address+Path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, n.config.Scheme+"://"+peer.Address+Path, bytes.NewReader(message))
 	if err != nil {
 		return nil, oops.Wrapf(err, "question")
 	}
