Entries and sidecars tell of refused heads

What operators saw: a head that an entry or a sidecar refuses before it has arrived, with 431 or 503, leaves no line; the router has one.

Cause: only the router sets the listener's OnHeadRefused.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -247,7 +247,7 @@
 	if config.TLS, err = certificate.NewServerConfig(files, "h2", "http/1.1"); err != nil {
 		return nil, err
 	}
-	config.OnPanic = e.events.RecordPanic
+	config.OnPanic, config.OnHeadRefused = e.events.RecordPanic, e.identity.RecordRefusedHead
 	return listener.Start(ctx, config)
 }
 
--- a/internal/role/member/holdings.go
+++ b/internal/role/member/holdings.go
@@ -71,7 +71,7 @@
 	} else {
 		memory = holdings.DefaultMemory
 	}
-	observer := &holdingObserver{events: m.Events}
+	observer := m.holdings
 	callers = holdings.New(holdings.Config{Limits: holdings.NewLimits(memory, descriptors), Observe: observer.observe})
 	internal = holdings.New(holdings.Config{Limits: holdings.NewLimits(memory/internalDivisor, descriptors/internalDivisor), Observe: observer.observe})
 	for name, read := range map[string]func() float64{
@@ -97,20 +97,31 @@
 	recorded int
 }
 
+// RecordRefusedHead records that the header of a request was refused before it had arrived completely.
+func (m *Member) RecordRefusedHead(peer string, status, bytes int) {
+	m.holdings.record("head_refused", strconv.Itoa(status), []event.Attribute{
+		{Key: "peer", Value: peer},
+		{Key: "bytes", Value: strconv.Itoa(bytes)},
+	})
+}
+
 func (o *holdingObserver) observe(seen holdings.Event) {
 	name := event.Name("caller_dismissed")
 	if seen.Refused {
 		name = "caller_refused"
 	}
-	if !o.admit() {
-		return
-	}
-	o.events.Record(event.Event{Name: name, Detail: string(seen.Kind), Attributes: []event.Attribute{
+	o.record(name, string(seen.Kind), []event.Attribute{
 		{Key: "peer", Value: seen.Peer},
 		{Key: "held_bytes", Value: strconv.FormatInt(int64(seen.Held), 10)},
 		{Key: "age_ms", Value: strconv.FormatInt(seen.Age.Milliseconds(), 10)},
 		{Key: "still_ms", Value: strconv.FormatInt(seen.Still.Milliseconds(), 10)},
-	}})
+	})
+}
+
+func (o *holdingObserver) record(name event.Name, detail string, attributes []event.Attribute) {
+	if o.admit() {
+		o.events.Record(event.Event{Name: name, Detail: detail, Attributes: attributes})
+	}
 }
 
 func (o *holdingObserver) admit() bool {
--- a/internal/role/member/member.go
+++ b/internal/role/member/member.go
@@ -34,6 +34,8 @@
 	Secret  string
 	Events  *event.Recorder
 	Metrics *metrics.Metrics
+	// holdings records what had to go, got no room or was refused of what callers hold.
+	holdings *holdingObserver
 }
 
 // New returns a member with a new incarnation.
@@ -55,6 +57,7 @@
 	m.Events = event.New(event.Config{
 		Process: m.Process, Incarnation: m.Incarnation, Log: config.Log, OnRecord: m.Metrics.CountEvent,
 	})
+	m.holdings = &holdingObserver{events: m.Events}
 	return m, nil
 }
 
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 // Sidecar is a running sidecar process.
 type Sidecar struct {
 	config          Config
+	identity        *member.Member
 	events          *event.Recorder
 	guard           *guard.Guard
 	recordBuffer    *ledger.RecordBuffer
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Sidecar{config: config, events: identity.Events, metrics: identity.Metrics}
+	s := &Sidecar{config: config, identity: identity, events: identity.Events, metrics: identity.Metrics}
 	s.callers, s.internal = identity.NewHoldings(config.Settings.Limits)
 	s.recordBuffer = ledger.NewRecordBuffer(ledger.RecordBufferConfig{
 		Table:       platformclient.New(platformclient.Config{Base: config.Settings.Platform, Process: config.Settings.Process}),
@@ -108,6 +109,7 @@
 	}
 	if s.linkListener, err = listener.Start(ctx, listener.Config{
 		Address: s.config.Settings.Listen, Handler: mux, TLS: tlsConfig, OnPanic: s.events.RecordPanic, Holdings: s.callers,
+		OnHeadRefused: s.identity.RecordRefusedHead,
 	}); err != nil {
 		return err
 	}
@@ -123,7 +125,7 @@
 		return float64(s.guard.Load().Waiting)
 	})
 	s.privateListener, err = listener.Start(ctx, listener.Config{
-		Address: s.config.Settings.PrivateListen, Handler: private, Holdings: s.internal,
+		Address: s.config.Settings.PrivateListen, Handler: private, Holdings: s.internal, OnHeadRefused: s.identity.RecordRefusedHead,
 	})
 	return err
 }
