--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"vanillapond/platform"
 )
 
 // Limits of the router under test, from its settings and its configuration.
@@ -268,9 +270,9 @@
 
 // requestHead returns a head without its last, empty line; an empty key is left out.
 func requestHead(method, path, key, id string) string {
-	head := fmt.Sprintf("%s %sx HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n", method, path, host, id)
+	head := fmt.Sprintf("%s %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", method, path, host, platform.HeaderRequestID, id)
 	if key != "" {
-		head += "Authorization: Token " + key + "\r\n"
+		head += "Authorization: " + platform.KeyScheme + key + "\r\n"
 	}
 	return head
 }
--- a/internal/process/listener/held_test.go
+++ b/internal/process/listener/held_test.go
@@ -22,6 +22,11 @@
 
 const plainRequest = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
+// newAccount returns an account that bounds bytes and connections.
+func newAccount(bytes holdings.Bytes, connections int) *holdings.Account {
+	return holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: bytes, Largest: bytes, Connections: connections}})
+}
+
 func dial(t *testing.T, address string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -70,7 +75,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const limit = 16
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	account := newAccount(64<<20, limit)
 	release := make(chan struct{})
 	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
@@ -111,7 +116,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const limit = 16
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	account := newAccount(64<<20, limit)
 	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		greet(w, r)
@@ -131,7 +136,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const limit = 16
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	account := newAccount(64<<20, limit)
 	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength > 0 {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -187,7 +192,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 500}})
+			account := newAccount(allowed, 500)
 			address := serve(t, listener.Config{Handler: greet, Holdings: account})
 			for range 400 {
 				conn := dial(t, address)
@@ -238,7 +243,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const allowed, each = 4 << 20, 60 << 10
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 10}})
+	account := newAccount(allowed, 10)
 	address := serve(t, listener.Config{Handler: greet, Holdings: account})
 	var bodies []*holdings.Holding
 	for range allowed/each - 1 {
@@ -285,7 +290,7 @@
 	is := is.New(t)
 	const limit = 16
 	var running atomic.Int64
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: 64 << 20, Largest: 64 << 20, Connections: limit}})
+	account := newAccount(64<<20, limit)
 	address := serve(t, listener.Config{Holdings: account, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
 			running.Add(1)
@@ -357,7 +362,7 @@
 	config, err := certificate.NewServerConfig(files, "h2")
 	is.NoErr(err)
 	const allowed = 4 << 20
-	account := holdings.New(holdings.Config{Limits: holdings.Limits{Bytes: allowed, Largest: allowed, Connections: 10}})
+	account := newAccount(allowed, 10)
 	release := make(chan struct{})
 	address := serve(t, listener.Config{TLS: config, Holdings: account, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/first" {
--- a/internal/request/forward/holdings_test.go
+++ b/internal/request/forward/holdings_test.go
@@ -28,8 +28,8 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	body := strings.Repeat("b", 499)
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s%s\r\nX-Deadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s",
-		path, host, platform.KeyScheme, key, len(body)+1, body); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s%s\r\n%s: 60000\r\nContent-Length: %d\r\n\r\n%s",
+		path, host, platform.KeyScheme, key, platform.HeaderDeadline, len(body)+1, body); err != nil {
 		t.Fatal(err)
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
