--- a/review/testbed-2/upgrade.go
+++ b/review/testbed-2/upgrade.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -26,6 +25,7 @@
 	streamEvents    = 120
 	eventInterval   = 60 * time.Millisecond
 	maxTries        = 2
+	promptRepeats   = 25
 	// upgradeDowntime is how long an upgraded server is down, upgradeGap the time from one upgrade to the next, and upgradePause the time between
 	// the two halves of the servers.
 	upgradeDowntime = 650 * time.Millisecond
@@ -160,7 +160,7 @@
 				header[platform.HeaderResumes], header[platform.HeaderLastEventID] = first, strconv.Itoa(last)
 			}
 		}
-		last = u.readStream(client, m, id, header, last, &versions)
+		last = u.readStream(client, m, id, header, first, last, &versions)
 		if last == streamEvents {
 			break
 		}
@@ -180,11 +180,11 @@
 	}
 }
 
-// readStream sends one request and reads the events; it returns the number of the last one.
-func (u *upgrade) readStream(client *caller, m *machine, id string, header map[string]string, last int, versions *[]string) int {
+// readStream sends one request for a stream and reads the events; it returns the number of the last one. Each stream has a prompt of its own.
+func (u *upgrade) readStream(client *caller, m *machine, id string, header map[string]string, stream string, last int, versions *[]string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), streamTimeoutMS*time.Millisecond)
 	defer cancel()
-	response, err := client.open(ctx, m, http.MethodPost, chatPrefix+"2f", id, streamTimeoutMS*time.Millisecond, bytes.NewReader(make([]byte, 600)), header)
+	response, err := client.open(ctx, m, http.MethodPost, chatPrefix+"2f", id, streamTimeoutMS*time.Millisecond, strings.NewReader(strings.Repeat("prompt of "+stream+"; ", promptRepeats)), header)
 	if err != nil {
 		return last
 	}
