--- a/review/testbed-2/upgrade.go
+++ b/review/testbed-2/upgrade.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"vanillapond/platform"
+	"vanillapond/platform/platformtest"
 )
 
 // Sizes and times of the case of servers that are upgraded in place.
@@ -26,6 +27,13 @@
 	eventInterval   = 60 * time.Millisecond
 	maxTries        = 2
 	promptRepeats   = 25
+	// Sizes of the prompts, in tokens, and the ids of their parts.
+	promptTokens  = 715
+	sessionTokens = 172
+	outputTokens  = 180
+	sessions      = 200
+	firstSession  = 0x91bd3f00
+	firstPrompt   = 0xe4000000
 	// upgradeDowntime is how long an upgraded server is down, upgradeGap the time from one upgrade to the next, and upgradePause the time between
 	// the two halves of the servers.
 	upgradeDowntime = 650 * time.Millisecond
@@ -150,9 +158,7 @@
 	last, taken := 0, 0
 	for try := range maxTries {
 		m := u.deployment.machines[(count+try)%len(u.deployment.machines)]
-		id, header := first, map[string]string{
-			"X-Model": "m", "X-Token-Counts": "715,180", "X-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 0x91bd3f00+count%200, 0xe4000000+count),
-		}
+		id, header := first, promptHeader(count)
 		if try > 0 {
 			id = client.newID()
 			if last > 0 {
@@ -180,6 +186,21 @@
 	}
 }
 
+// promptHeader returns the headers of a prompt that shares its first part with others of its session.
+func promptHeader(count int) map[string]string {
+	set := make(http.Header)
+	platformtest.SetPrompt(set, platform.Prompt{
+		Tokens: promptTokens, MaxOutput: outputTokens, Parts: []platform.PromptPart{
+			{ID: uint64(firstSession + count%sessions), Tokens: sessionTokens}, {ID: uint64(firstPrompt + count), Tokens: promptTokens - sessionTokens}, //nolint:gosec // Not negative.
+		},
+	})
+	header := map[string]string{"X-Model": "m"}
+	for name := range set {
+		header[name] = set.Get(name)
+	}
+	return header
+}
+
 // readStream sends one request for a stream and reads the events; it returns the number of the last one. Each stream has a prompt of its own.
 func (u *upgrade) readStream(client *caller, m *machine, id string, header map[string]string, stream string, last int, versions *[]string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), streamTimeoutMS*time.Millisecond)
