--- a/review/testbed-2/configuration.go
+++ b/review/testbed-2/configuration.go
@@ -22,9 +22,10 @@
 	plainTargetMS   = 150
 	streamTimeoutMS = 15000
 	streamTargetMS  = 500
-	// shortPauseMS is the pause of the route wording-suggest of vzorovna-sk, longPauseMS that of lot-query of kilima-ledger-grown.
+	// shortPauseMS is the pause of the route wording-suggest of vzorovna-sk, longPauseMS that of florist-chat of
+	// phoolbari-pond-grown.
 	shortPauseMS   = 150
-	longPauseMS    = 300
+	longPauseMS    = 400
 	plainAttempts  = 2
 	streamAttempts = 2
 	lookupPrefix   = "/lookup/"
--- a/review/testbed-2/joining.go
+++ b/review/testbed-2/joining.go
@@ -13,14 +13,14 @@
 // Sizes and times of the case of servers that join while others are full.
 const (
 	joiningMachines   = 4
-	joiningServers    = 5
+	joiningServers    = 3
 	joiningWarmUp     = 5 * time.Second
-	joiningReleases   = 15
-	joiningPerRelease = 2
+	joiningReleases   = 30
+	joiningPerRelease = 1
 	joiningGap        = 750 * time.Millisecond
-	joiningPause      = time.Second
-	joiningWork       = 30 * time.Millisecond
-	joiningInterval   = 3 * time.Millisecond
+	joiningPause      = 500 * time.Millisecond
+	joiningWork       = 15 * time.Millisecond
+	joiningInterval   = 2 * time.Millisecond
 	drainTime         = 2 * time.Second
 	drainMargin       = time.Second
 	maxUnanswered     = 3
