Second review: in touch and sound servers in case 6, and an end of interrupted cases

Cause: case 6 counted requests from the start of the machines on; the rule holds for machines in touch, so that those of the first ContactMs do not count now, nor those that reached a server which has ended. An interrupted case left its temporary folder behind; it now kills its routers, removes the folder and ends with exit code 2.

--- a/review/testbed-2/joining.go
+++ b/review/testbed-2/joining.go
@@ -32,7 +32,11 @@
 	servers    []*server
 	started    int
 	mu         sync.Mutex
-	// arrivals holds the requests that reached a server; guarded by mu.
+	// byID holds all servers, also those that have left; guarded by mu.
+	byID map[string]*server
+	// inTouchFrom is from when on the machines are in touch: the recovery bound after their start, in time since the start of the case.
+	inTouchFrom time.Duration
+	// arrivals holds the servers that each request reached; guarded by mu.
 	arrivals map[string]string
 	// sent, served and refused count the requests by how they ended, unanswered those that were closed without an answer, unansweredOrders the orders among
 	// them, and passedOn those that had been passed on to a server from a kept connection; guarded by mu.
@@ -46,7 +50,8 @@
 		return false, err
 	}
 	defer d.close()
-	j := &joining{deployment: d, arrivals: make(map[string]string)}
+	j := &joining{deployment: d, arrivals: make(map[string]string), byID: make(map[string]*server)}
+	d.arrive = j.recordArrival
 	defer func() {
 		for _, s := range j.servers {
 			s.close()
@@ -63,6 +68,7 @@
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
+	j.inTouchFrom = d.record.since() + contact
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for _, m := range d.machines {
@@ -90,7 +96,9 @@
 	if err != nil {
 		return err
 	}
-	s.arrive = j.recordArrival
+	j.mu.Lock()
+	j.byID[id] = s
+	j.mu.Unlock()
 	j.started++
 	j.servers = append(j.servers, s)
 	return nil
@@ -145,12 +153,14 @@
 			if count%3 == 0 {
 				method, path = http.MethodPost, orderPrefix+id
 			}
-			j.add(m, id, path, client.send(m, method, path, id, plainTimeoutMS*time.Millisecond))
+			inTouch := j.deployment.record.since() > j.inTouchFrom
+			j.add(m, id, path, inTouch, client.send(m, method, path, id, plainTimeoutMS*time.Millisecond))
 		})
 	}
 }
 
-func (j *joining) add(m *machine, id, path string, got keptAnswer) {
+// add records how a request ended. One that was passed on counts only if its machine was in touch, and if all servers that it reached still run.
+func (j *joining) add(m *machine, id, path string, inTouch bool, got keptAnswer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.sent++
@@ -165,7 +175,7 @@
 			j.unansweredOrders++
 		}
 		servers := j.arrivals[id]
-		if servers != "" && got.kept {
+		if servers != "" && got.kept && inTouch && j.allRun(servers) {
 			j.passedOn++
 		}
 		j.deployment.record.writef("request %s, %s, to machine %d over a connection that was kept: %t; it was closed without an answer; it had reached servers: %q",
@@ -175,6 +185,20 @@
 	}
 }
 
+// allRun reports whether all of the servers run; the caller holds mu.
+func (j *joining) allRun(ids string) bool {
+	for id := range strings.SplitSeq(ids, ", ") {
+		s := j.byID[id]
+		s.mu.Lock()
+		up := s.up
+		s.mu.Unlock()
+		if !up {
+			return false
+		}
+	}
+	return true
+}
+
 func (j *joining) judge() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/review/testbed-2/main.go
+++ b/review/testbed-2/main.go
@@ -9,10 +9,12 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
-// maxDuration bounds a run. The routers end with their case, however it ends (Pdeathsig in platform.go).
+// maxDuration bounds a run. The routers end with their case even if it is killed (Pdeathsig in platform.go).
 const maxDuration = 110 * time.Second
 
 // Exit codes.
@@ -45,10 +47,7 @@
 		return exitNotRun
 	}
 	defer rec.close()
-	time.AfterFunc(maxDuration, func() {
-		rec.conclude("the case couldn't run: it took longer than %v", maxDuration)
-		os.Exit(exitNotRun)
-	})
+	go endEarly(rec)
 	broken, err := cases[arguments[0]](rec, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -62,3 +61,20 @@
 		return exitHeld
 	}
 }
+
+// endEarly ends the case, with all that it started, if it is interrupted or takes too long.
+func endEarly(rec *record) {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	reason := fmt.Sprintf("it took longer than %v", maxDuration)
+	select {
+	case <-time.After(maxDuration):
+	case received := <-interrupted:
+		reason = received.String()
+	}
+	rec.conclude("the case couldn't run: %s", reason)
+	if d := active.Load(); d != nil {
+		d.abort()
+	}
+	os.Exit(exitNotRun)
+}
--- a/review/testbed-2/platform.go
+++ b/review/testbed-2/platform.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -105,6 +106,21 @@
 	folder   string
 	ports    ports
 	machines []*machine
+	// arrive is called for each request that is meant for a server started from now on, also for one that it rejects; may be nil.
+	arrive func(request, server string)
+}
+
+// active is the deployment that runs, nil before; an interrupted case ends it.
+var active atomic.Pointer[deployment]
+
+// abort kills all processes at once and removes the temporary folder.
+func (d *deployment) abort() {
+	for _, m := range d.machines {
+		if m.process != nil && m.process.Process != nil {
+			_ = m.process.Process.Kill()
+		}
+	}
+	_ = os.RemoveAll(d.folder)
 }
 
 // ports are the same on all machines.
@@ -133,6 +149,7 @@
 		return nil, fmt.Errorf("create a temporary folder: %w", err)
 	}
 	d := &deployment{record: rec, store: platformtest.NewStore(), duties: platformtest.NewDuties(), folder: folder}
+	active.Store(d)
 	if d.ports, err = freePorts(machines); err != nil {
 		d.close()
 		return nil, err
--- a/review/testbed-2/server.go
+++ b/review/testbed-2/server.go
@@ -51,7 +51,7 @@
 }
 
 func (d *deployment) newServer(id, service, zone, version string, slots int, handle func(*server, http.ResponseWriter, *http.Request)) (*server, error) {
-	s := &server{deployment: d, state: platform.ServerReady, id: id, service: service, zone: zone, version: version, slots: slots, handle: handle}
+	s := &server{deployment: d, arrive: d.arrive, state: platform.ServerReady, id: id, service: service, zone: zone, version: version, slots: slots, handle: handle}
 	listening, err := platformtest.NewServer(s)
 	if err != nil {
 		return nil, fmt.Errorf("start server %s: %w", id, err)
