--- a/review/testbed-2/platform.go
+++ b/review/testbed-2/platform.go
@@ -113,13 +113,18 @@
 // active is the deployment that runs, nil before; an interrupted case ends it.
 var active atomic.Pointer[deployment]
 
-// abort kills all processes at once and removes the temporary folder.
+// abort kills all processes at once, waits until they are gone, and removes the temporary folder.
 func (d *deployment) abort() {
 	for _, m := range d.machines {
-		if m.process != nil && m.process.Process != nil {
+		if m.process != nil {
 			_ = m.process.Process.Kill()
 		}
 	}
+	for _, m := range d.machines {
+		if m.process != nil {
+			<-m.done
+		}
+	}
 	_ = os.RemoveAll(d.folder)
 }
 
