A response without a length proves nothing while the request is not sent

Callers saw: a server responded to a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still written. The caller got that part as a complete response.

Cause: a body without a length or chunks ended with any end of file. The kernel reports a reset once per socket: where the writer of the upload met it first, the reader got an end of file, and the failed write only kept the connection from being reused. An end in order proved as little while the server had not received the request.

Change: package httpresponse decides for everything that reads HTTP/1 responses whether such an end is certain: the request was written, the socket was not reset, and the peer acknowledged all that was written. direct asks it at the end of a body without a length. httpresponse.Transport does so for the clients of net/http, and takes over theirs in backend, platformclient, the platform's store and duties, version/peer, links and command line.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -18,6 +18,7 @@
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/statusline"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/configuration"
@@ -73,7 +74,7 @@
 
 func newClient(transport *http.Transport) *http.Client {
 	transport.MaxResponseHeaderBytes = maxHeadBytes
-	return &http.Client{Transport: transport, CheckRedirect: doNotFollow}
+	return &http.Client{Transport: httpresponse.NewTransport(transport), CheckRedirect: doNotFollow}
 }
 
 // doNotFollow returns redirects to the caller instead of following them.
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/statusline"
 )
@@ -90,9 +91,11 @@
 	Header http.Header
 	// Framed means that the response has a length or is chunked; otherwise its body ends with the connection.
 	Framed bool
-	pool   *Pool
-	conn   *conn
-	body   io.Reader
+	// endsWithConnection means that the body ends with the connection; a response that has no body is neither this nor Framed.
+	endsWithConnection bool
+	pool               *Pool
+	conn               *conn
+	body               io.Reader
 	// written is closed when the request has been written completely or writing has failed.
 	written chan struct{}
 	// writeFailed means that writing failed; it is set before written is closed.
@@ -246,6 +249,7 @@
 	r.Status = httpResponse.StatusCode
 	r.Header = httpResponse.Header
 	r.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
+	r.endsWithConnection = !r.Framed && httpResponse.Body != http.NoBody
 	r.body = httpResponse.Body
 	if eventstream.Is(r.Header) && r.Status < http.StatusMultipleChoices {
 		r.body = eventstream.NewReader(r.body)
@@ -273,13 +277,29 @@
 }
 
 // Read reads from the body; it returns io.EOF only at the end of a complete body and another error if the body is truncated. The event
-// stream of a success is truncated if it ends inside an event, whatever its framing says.
+// stream of a success is truncated if it ends inside an event, whatever its framing says. At the end of a body that ends with the connection, Read waits until
+// the request is written.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if r.endsWithConnection && !r.isEndCertain() {
+		return n, oops.Wrapf(httpresponse.ErrBroken, "connection ended before the request was sent completely")
+	}
+	r.complete = true
+	return n, io.EOF
+}
+
+// isEndCertain reports whether the end of the connection is that of the response: the server may also have failed, or been stopped, while the request was
+// written.
+func (r *Response) isEndCertain() bool {
+	if r.complete {
+		return true
+	}
+	// Writing ends with the context at the latest.
+	<-r.written
+	return !r.writeFailed && httpresponse.EndedInOrder(r.conn.Conn)
 }
 
 // Written reports whether writing the request has ended.
--- a/internal/connection/platformclient/platformclient.go
+++ b/internal/connection/platformclient/platformclient.go
@@ -13,6 +13,7 @@
 
 	"vanillapond/internal/bounded"
 	"vanillapond/internal/connection/socket"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/platform"
 	"vanillapond/internal/process/table"
@@ -52,7 +53,7 @@
 		config.MaxResponseSize = DefaultMaxResponseSize
 	}
 	const idleConnections = 16
-	transport := &http.Transport{DialContext: socket.DialReset, MaxIdleConnsPerHost: idleConnections}
+	transport := httpresponse.NewTransport(&http.Transport{DialContext: socket.DialReset, MaxIdleConnsPerHost: idleConnections})
 	return &Client{
 		base: config.Base, process: config.Process, http: &http.Client{Timeout: config.Timeout, Transport: transport}, maxResponseSize: config.MaxResponseSize,
 	}
@@ -98,7 +99,7 @@
 // no effect.
 func (c *Client) postGated(ctx context.Context, path string, request any, gate platform.Gate) error {
 	connection := &socket.Call{Gate: gate, UnackedTimeout: c.http.Timeout}
-	transport := &http.Transport{DialContext: connection.Dial, DisableKeepAlives: true}
+	transport := httpresponse.NewTransport(&http.Transport{DialContext: connection.Dial, DisableKeepAlives: true})
 	client := &Client{
 		base: c.base, process: c.process, http: &http.Client{Timeout: c.http.Timeout, Transport: transport}, maxResponseSize: c.maxResponseSize,
 	}
--- a/internal/connection/socket/call.go
+++ b/internal/connection/socket/call.go
@@ -39,6 +39,9 @@
 	call *Call
 }
 
+// NetConn returns the connection below.
+func (c *gatedConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *gatedConn) Write(data []byte) (int, error) {
 	if err := c.call.Gate(); err != nil {
--- a/internal/process/certificate/certificate.go
+++ b/internal/process/certificate/certificate.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"vanillapond/internal/httpresponse"
 )
 
 // reloadInterval is the minimum interval between two checks of the files for changes.
@@ -93,22 +95,22 @@
 		}
 		transport.TLSClientConfig = reloader.ClientConfig()
 	}
-	return &http.Client{Transport: transport}, nil
+	return httpresponse.NewClient(transport), nil
 }
 
 // NewClientWithAuthority returns an HTTP client that verifies servers against the authorities in a file, or against the system's
 // authorities if the path is empty. It presents no certificate.
 func NewClientWithAuthority(authority string) (*http.Client, error) {
 	if authority == "" {
-		return http.DefaultClient, nil
+		return httpresponse.NewClient(nil), nil
 	}
 	pool, err := loadPool(authority)
 	if err != nil {
 		return nil, err
 	}
-	return &http.Client{Transport: &http.Transport{
+	return httpresponse.NewClient(&http.Transport{
 		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool},
-	}}, nil
+	}), nil
 }
 
 // ServerConfig returns the TLS configuration of a listener. If an authority file is configured, clients must present a
--- a/internal/process/listener/close_test.go
+++ b/internal/process/listener/close_test.go
@@ -99,10 +99,8 @@
 	files := newFiles(t)
 	serverConfig, err := certificate.NewServerConfig(files, "http/1.1")
 	is.NoErr(err)
-	client, err := certificate.NewClient(files)
+	client, err := certificate.NewReloader(files)
 	is.NoErr(err)
-	transport, ok := client.Transport.(*http.Transport)
-	is.True(ok)
 	var l *listener.Listener
 	l, err = listener.Start(t.Context(), listener.Config{
 		Address: "127.0.0.1:0", TLS: serverConfig,
@@ -113,7 +111,7 @@
 		}),
 	})
 	is.NoErr(err)
-	clientConfig := transport.TLSClientConfig.Clone()
+	clientConfig := client.ClientConfig()
 	clientConfig.NextProtos = []string{"http/1.1"}
 	conn, err := tls.Dial("tcp", l.Address(), clientConfig)
 	is.NoErr(err)
--- a/internal/process/listener/whole_test.go
+++ b/internal/process/listener/whole_test.go
@@ -24,15 +24,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := certificate.NewClient(files)
+	client, err := certificate.NewReloader(files)
 	if err != nil {
 		t.Fatal(err)
 	}
-	transport, ok := client.Transport.(*http.Transport)
-	if !ok {
-		t.Fatal("no transport")
-	}
-	clientConfig := transport.TLSClientConfig.Clone()
+	clientConfig := client.ClientConfig()
 	clientConfig.NextProtos = []string{"http/1.1"}
 	const keepAlive = "Connection: keep-alive\r\n"
 	long := string(make([]byte, 64<<10))
--- a/internal/version/peer/node.go
+++ b/internal/version/peer/node.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/subtle"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +13,8 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/body"
+	"vanillapond/internal/bounded"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/event"
 	"vanillapond/internal/process/holdings"
@@ -47,7 +48,7 @@
 	Scheme string
 	// Holdings bounds the queries that arrive; nil bounds nothing.
 	Holdings *holdings.Account
-	// HTTP is the client that sends queries; nil means http.DefaultClient.
+	// HTTP is the client that sends queries; nil means that of httpresponse.NewClient.
 	HTTP *http.Client
 }
 
@@ -59,7 +60,7 @@
 // New returns a node.
 func New(config Config) *Node {
 	if config.HTTP == nil {
-		config.HTTP = http.DefaultClient
+		config.HTTP = httpresponse.NewClient(nil)
 	}
 	return &Node{config: config}
 }
@@ -171,7 +172,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxMessage))
+	content, err := bounded.ReadAll(response.Body, maxMessage)
 	if err != nil {
 		return nil, oops.Wrapf(err, "answer")
 	}
