A status outside of 100 to 599 is no answer

Callers saw: a server in trouble sent a response whose status was 000, and the caller got it as an answer.

Cause: net/http takes any three characters that make a number for a status. direct skipped each one under 200 as interim, so that 000, 099 and +42 cost the request its time, and what followed them was taken for the response; 600 to 999 were passed on. Behind a sidecar each of them was taken for the response, and a frame with such a status would end the link that other requests share.

Change: httpresponse.CheckHead says which heads are valid, by the range of RFC 9110, section 15, and direct and httpresponse.Transport call it for each head; it also looks for a second response inside the head, as both did before. direct.ErrMalformed goes, as httpresponse.ErrBroken says the same.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -19,7 +19,6 @@
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/httpresponse"
-	"vanillapond/internal/statusline"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/configuration"
 	"vanillapond/pkg/ident"
@@ -142,9 +141,6 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return link.Usage{}, oops.Wrapf(ErrInterrupted, "back end switched protocols without a request to do so")
 	}
-	if statusline.InHead(response) {
-		return link.Usage{}, oops.Wrapf(ErrInterrupted, "another response begins inside the head")
-	}
 	if err := writer.Head(response.StatusCode, EndToEndHeaders(response.Header)); err != nil {
 		return link.Usage{}, err
 	}
--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -40,8 +40,6 @@
 	ErrNoConnection = errors.New("all connections to the server are in use")
 	// ErrNotConfirmed is returned if Request.Confirm returned false.
 	ErrNotConfirmed = errors.New("request was withdrawn before it was sent")
-	// ErrMalformed is returned if the server sent something other than an HTTP response to the request.
-	ErrMalformed = errors.New("server sent no valid HTTP response to the request")
 )
 
 // Request is one request to a server.
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -19,7 +19,6 @@
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/process/outcome"
-	"vanillapond/internal/statusline"
 )
 
 // Size limits of one exchange.
@@ -78,7 +77,7 @@
 
 func (l *readLimit) Read(buffer []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, oops.Wrapf(ErrMalformed, "head is longer than %d bytes", maxHeadBytes)
+		return 0, oops.Wrapf(httpresponse.ErrBroken, "head is longer than %d bytes", maxHeadBytes)
 	}
 	n, err := l.source.Read(buffer[:min(int64(len(buffer)), l.remaining)])
 	l.remaining -= int64(n)
@@ -207,8 +206,11 @@
 		if err != nil {
 			return err
 		}
-		if httpResponse.StatusCode == http.StatusSwitchingProtocols || statusline.InHead(httpResponse) {
-			return ErrMalformed
+		if err := httpresponse.CheckHead(httpResponse); err != nil {
+			return err
+		}
+		if httpResponse.StatusCode == http.StatusSwitchingProtocols {
+			return oops.Wrapf(httpresponse.ErrBroken, "server switched protocols without a request to do so")
 		}
 		if httpResponse.StatusCode < http.StatusOK {
 			continue
@@ -221,11 +223,11 @@
 			return nil
 		}
 		if unmatched++; unmatched > maxUnmatched || httpResponse.Close {
-			return ErrMalformed
+			return oops.Wrapf(httpresponse.ErrBroken, "server sent responses to other requests")
 		}
 		r.sawUnmatched = true
 		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxUnmatchedBytes)); err != nil || n == maxUnmatchedBytes {
-			return errors.Join(ErrMalformed, err)
+			return errors.Join(httpresponse.ErrBroken, err)
 		}
 		r.conn.limit.remaining = maxHeadBytes
 	}
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -54,6 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if endsWithConnection(response) {
 		response.Body = &unframedBody{ReadCloser: response.Body, ctx: request.Context(), written: written}
 	}
