A head with a field that is not valid is no answer

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on, or with a body that was not the server's.

Cause: net/http keeps a name that holds a blank, so that "Transfer-Encoding :" did not frame the body and its raw chunks became the body; a blank before a name makes the line a part of the one before; HTTP/1.0 responses lose their transfer encoding without a word. Control bytes were refused already.

Change: httpresponse.Reader checks the lines of each head, interim ones too, before net/http parses it: names are tokens by httpguts, lines are not folded, and a body is framed in one way. direct reads through it, and httpresponse.Transport puts it below the clients of net/http. CheckHead checks what was parsed, which is all that can be seen over TLS, and CheckFields the trailer. net/http no longer bounds the number of interim responses once they are checked, so Transport does. RFC 9112 forbids servers each of these forms (5.1, 5.2, 6.1, 6.2).

Held before and keep their tests: control bytes in names and values, two lengths, other transfer encodings, lines without a colon.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -27,9 +27,6 @@
 // copyBufferSize is the maximum size of one chunk of a response, in bytes.
 const copyBufferSize = 32 << 10
 
-// maxHeadBytes bounds a response's head together with the interim responses before it.
-const maxHeadBytes = 64 << 10
-
 // Errors of a backend. Their texts reach the entry as the reason of a Deny.
 var (
 	// ErrNotReached is returned if no byte of the request reached the backend.
@@ -72,7 +69,6 @@
 }
 
 func newClient(transport *http.Transport) *http.Client {
-	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return &http.Client{Transport: httpresponse.NewTransport(transport), CheckRedirect: doNotFollow}
 }
 
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -23,13 +22,9 @@
 
 // Size limits of one exchange.
 const (
-	// readBufferSize fits a response's head and its first events.
-	readBufferSize = 4 << 10
 	// maxInlineBody is the size up to which a request's body is written before the response is read; a larger one is written
 	// concurrently.
 	maxInlineBody = 4 << 10
-	// maxHeadBytes bounds a response's head together with the interim responses before it.
-	maxHeadBytes = 64 << 10
 	// maxCarried is how many requests ago a connection carried those whose id it does not carry again.
 	maxCarried = 16
 	// maxUnmatched is how many responses to other requests are skipped before the connection is closed.
@@ -41,7 +36,7 @@
 // conn is a connection of a pool and the state of its reuse.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *httpresponse.Reader
 	// limit bounds what reader reads from the connection.
 	limit *readLimit
 	// reused means that the connection carried a request before.
@@ -56,7 +51,7 @@
 
 func newConn(raw net.Conn) *conn {
 	limit := &readLimit{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: raw, reader: httpresponse.NewReader(limit), limit: limit, idleTimeout: defaultIdleTimeout}
 }
 
 // hasCarried reports whether one of the latest requests had this id.
@@ -77,7 +72,7 @@
 
 func (l *readLimit) Read(buffer []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, oops.Wrapf(httpresponse.ErrBroken, "head is longer than %d bytes", maxHeadBytes)
+		return 0, oops.Wrapf(httpresponse.ErrBroken, "head is longer than %d bytes", httpresponse.MaxHeadBytes)
 	}
 	n, err := l.source.Read(buffer[:min(int64(len(buffer)), l.remaining)])
 	l.remaining -= int64(n)
@@ -95,6 +90,8 @@
 	pool               *Pool
 	conn               *conn
 	body               io.Reader
+	// trailer holds the fields behind the body once that was read to its end.
+	trailer *http.Header
 	// written is closed when the request has been written completely or writing has failed.
 	written chan struct{}
 	// writeFailed means that writing failed; it is set before written is closed.
@@ -200,9 +197,12 @@
 // readHead reads response heads until one belongs to the request; it skips interim responses and responses to other requests.
 func (r *Response) readHead(request *Request) error {
 	method := &http.Request{Method: request.Method}
-	r.conn.limit.remaining = maxHeadBytes
+	r.conn.limit.remaining = httpresponse.MaxHeadBytes
 	for unmatched := 0; ; {
-		httpResponse, err := http.ReadResponse(r.conn.reader, method) //nolint:bodyclose // Close closes or reuses the connection.
+		if _, err := r.conn.reader.NextHead(); err != nil {
+			return err
+		}
+		httpResponse, err := http.ReadResponse(r.conn.reader.Reader, method) //nolint:bodyclose // Close closes or reuses the connection.
 		if err != nil {
 			return err
 		}
@@ -229,7 +229,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxUnmatchedBytes)); err != nil || n == maxUnmatchedBytes {
 			return errors.Join(httpresponse.ErrBroken, err)
 		}
-		r.conn.limit.remaining = maxHeadBytes
+		r.conn.limit.remaining = httpresponse.MaxHeadBytes
 	}
 }
 
@@ -252,7 +252,7 @@
 	r.Header = httpResponse.Header
 	r.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 	r.endsWithConnection = !r.Framed && httpResponse.Body != http.NoBody
-	r.body = httpResponse.Body
+	r.body, r.trailer = httpResponse.Body, &httpResponse.Trailer
 	if eventstream.Is(r.Header) && r.Status < http.StatusMultipleChoices {
 		r.body = eventstream.NewReader(r.body)
 	}
@@ -289,6 +289,9 @@
 	if r.endsWithConnection && !r.isEndCertain() {
 		return n, oops.Wrapf(httpresponse.ErrBroken, "connection ended before the request was sent completely")
 	}
+	if err := httpresponse.CheckFields(*r.trailer); err != nil {
+		return n, err
+	}
 	r.complete = true
 	return n, io.EOF
 }
--- /dev/null
+++ b/internal/httpresponse/conn.go
@@ -0,0 +1,70 @@
+package httpresponse
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+
+	"github.com/samber/oops"
+)
+
+// checkedConn is a connection that checks the head of each response before anyone reads it, and on which an end of file is an error unless the peer ended it
+// in order.
+type checkedConn struct {
+	net.Conn
+	reader *Reader
+	// headExpected is set for each request, and reset by the head of its final response.
+	headExpected atomic.Bool
+	// headLeft is how many bytes of a head that was checked are still to be read; only used by Read.
+	headLeft int
+}
+
+func newCheckedConn(conn net.Conn) *checkedConn {
+	return &checkedConn{Conn: conn, reader: NewReader(endCheck{conn})}
+}
+
+// NetConn returns the connection below.
+func (c *checkedConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(buffer []byte) (int, error) {
+	if c.headLeft == 0 && c.reader.Buffered() == 0 {
+		// While an idle connection is read, a request may be assigned to it.
+		if _, err := c.reader.Peek(1); err != nil {
+			return 0, err
+		}
+	}
+	if c.headLeft == 0 && c.headExpected.Load() {
+		head, err := c.reader.NextHead()
+		if err != nil {
+			return 0, err
+		}
+		c.headLeft = len(head)
+		c.headExpected.Store(isInterim(head))
+	}
+	if c.headLeft == 0 {
+		return c.reader.Read(buffer)
+	}
+	n, err := c.reader.Read(buffer[:min(len(buffer), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+// isInterim reports whether another head follows the one of a response. What follows a switch of protocols is none.
+func isInterim(head []byte) bool {
+	const start = len("HTTP/1.1 ")
+	return len(head) > start+len("100") && head[start] == '1' && string(head[start:start+len("101")]) != "101"
+}
+
+// endCheck is the source of a checkedConn.
+type endCheck struct{ conn net.Conn }
+
+// Read implements io.Reader.
+func (e endCheck) Read(buffer []byte) (int, error) {
+	n, err := e.conn.Read(buffer)
+	if errors.Is(err, io.EOF) && !EndedInOrder(e.conn) {
+		return n, oops.Wrapf(ErrBroken, "connection was reset")
+	}
+	return n, err
+}
--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/samber/oops"
+	"golang.org/x/net/http/httpguts"
 
 	"vanillapond/internal/statusline"
 )
@@ -23,5 +24,20 @@
 	if statusline.InHead(response) {
 		return oops.Wrapf(ErrBroken, "another response begins inside the head")
 	}
+	return CheckFields(response.Header)
+}
+
+// CheckFields returns ErrBroken for the fields of a head or a trailer if a name or a value is not valid.
+func CheckFields(fields http.Header) error {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return oops.Wrapf(ErrBroken, "name of a field is not valid: %.40q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return oops.Wrapf(ErrBroken, "value of field %.40q is not valid: %.40q", name, value)
+			}
+		}
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/httpresponse/reader.go
@@ -0,0 +1,109 @@
+package httpresponse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/samber/oops"
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// readBufferSize fits a response's head and its first events.
+	readBufferSize = 4 << 10
+	// MaxHeadBytes bounds a response's head together with the interim responses before it.
+	MaxHeadBytes = 64 << 10
+)
+
+// Reader is a buffered reader of a connection that checks the bytes of heads before they are parsed: net/http takes some that are not valid, and what it has
+// parsed does not show them.
+type Reader struct {
+	*bufio.Reader
+	// small is the reader below Reader once a head did not fit into its buffer, nil before.
+	small *bufio.Reader
+}
+
+// NewReader returns a reader of a source.
+func NewReader(source io.Reader) *Reader {
+	return &Reader{Reader: bufio.NewReaderSize(source, readBufferSize)}
+}
+
+// Buffered returns how many bytes can be read without reading from the source.
+func (r *Reader) Buffered() int {
+	if r.small == nil {
+		return r.Reader.Buffered()
+	}
+	return r.Reader.Buffered() + r.small.Buffered()
+}
+
+// NextHead waits for the head that comes next, checks its lines and returns its bytes, which are valid until the next call of a method; it does not consume
+// them. The error is ErrBroken if the head is not valid or too long, otherwise that of the source.
+func (r *Reader) NextHead() ([]byte, error) {
+	for {
+		// Peek of what is buffered does not fail.
+		buffered, _ := r.Peek(r.Reader.Buffered())
+		if length := headLength(buffered); length > 0 {
+			return buffered[:length], checkLines(buffered[:length])
+		}
+		if len(buffered) == r.Size() {
+			if r.small != nil {
+				return nil, oops.Wrapf(ErrBroken, "head is longer than %d bytes", MaxHeadBytes)
+			}
+			r.small, r.Reader = r.Reader, bufio.NewReaderSize(r.Reader, MaxHeadBytes)
+		}
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+}
+
+// headLength returns the length of the head at the start of some bytes, with the empty line at its end; 0 if it has not ended.
+func headLength(content []byte) int {
+	length := 0
+	for line := range bytes.Lines(content) {
+		length += len(line)
+		if isEmptyLine(line) {
+			return length
+		}
+	}
+	return 0
+}
+
+func isEmptyLine(line []byte) bool { return string(line) == "\r\n" || string(line) == "\n" }
+
+// checkLines checks the field lines of a head, and that they frame the body in one way.
+func checkLines(head []byte) error {
+	isStatusLine, hasLength, hasEncoding := true, false, false
+	for line := range bytes.Lines(head) {
+		switch {
+		case isEmptyLine(line):
+		case isStatusLine:
+			isStatusLine = false
+		case line[0] == ' ' || line[0] == '\t':
+			// RFC 9112, section 5.2: a sender must not fold lines.
+			return oops.Wrapf(ErrBroken, "folded line or blank before the name of a field: %.40q", line)
+		default:
+			name, _, _ := bytes.Cut(line, []byte(":"))
+			if !httpguts.ValidHeaderFieldName(string(name)) {
+				return oops.Wrapf(ErrBroken, "name of a field is not valid: %.40q", line)
+			}
+			hasLength = hasLength || strings.EqualFold(string(name), "Content-Length")
+			hasEncoding = hasEncoding || strings.EqualFold(string(name), "Transfer-Encoding")
+		}
+	}
+	// RFC 9112, section 6: a sender must neither encode a response of HTTP/1.0 nor state a length beside the encoding. net/http ignores the first.
+	switch {
+	case hasEncoding && bytes.HasPrefix(head, []byte("HTTP/1.0 ")):
+		return oops.Wrapf(ErrBroken, "HTTP/1.0 response has a transfer encoding")
+	case hasEncoding && hasLength:
+		return oops.Wrapf(ErrBroken, "response has both a length and a transfer encoding")
+	default:
+		return nil
+	}
+}
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -18,6 +19,9 @@
 
 // NewTransport returns a Transport that takes over base, which must not have been used.
 func NewTransport(base *http.Transport) *Transport {
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = MaxHeadBytes
+	}
 	dial := base.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -27,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn}, nil
+		return newCheckedConn(conn), nil
 	}
 	return &Transport{base: base}
 }
@@ -48,8 +52,8 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	written := &requestWrite{done: make(chan struct{})}
-	trace := &httptrace.ClientTrace{WroteRequest: written.record}
+	written, interim := &requestWrite{done: make(chan struct{})}, &interimResponses{}
+	trace := &httptrace.ClientTrace{GotConn: expectHead, Got1xxResponse: interim.check, WroteRequest: written.record}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -58,31 +62,43 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
-	if endsWithConnection(response) {
-		response.Body = &unframedBody{ReadCloser: response.Body, ctx: request.Context(), written: written}
+	if response.StatusCode != http.StatusSwitchingProtocols && response.Body != http.NoBody {
+		checked := &checkedBody{ReadCloser: response.Body, trailer: &response.Trailer, ctx: request.Context()}
+		if endsWithConnection(response) {
+			checked.written = written
+		}
+		response.Body = checked
 	}
 	return response, nil
 }
 
-// endsWithConnection reports whether the body of a response has neither a length nor chunks. That of a compressed response has an end of its own.
-func endsWithConnection(response *http.Response) bool {
-	return response.ProtoMajor == 1 && response.StatusCode != http.StatusSwitchingProtocols && response.Body != http.NoBody && !response.Uncompressed &&
-		response.ContentLength < 0 && len(response.TransferEncoding) == 0
+// expectHead prepares a connection for the response to a request. Connections with TLS carry other bytes; there, only what net/http has parsed is checked.
+func expectHead(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*checkedConn); ok {
+		conn.headExpected.Store(true)
+	}
 }
 
-// checkedConn is a connection on which an end of file is an error unless the peer ended it in order.
-type checkedConn struct{ net.Conn }
-
-// NetConn returns the connection below.
-func (c *checkedConn) NetConn() net.Conn { return c.Conn }
+// interimResponses are the interim responses to a request. net/http bounds each of them, but not their number once they are checked.
+type interimResponses struct{ bytes atomic.Int64 }
 
-// Read implements net.Conn.
-func (c *checkedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	if errors.Is(err, io.EOF) && !EndedInOrder(c.Conn) {
-		return n, oops.Wrapf(ErrBroken, "connection was reset")
+// check returns ErrBroken for an interim response that is not valid, or whose head is too long together with those before it.
+func (r *interimResponses) check(status int, header textproto.MIMEHeader) error {
+	length := len("HTTP/1.1 100 Continue\r\n\r\n")
+	for name, values := range header {
+		for _, value := range values {
+			length += len(name) + len(value)
+		}
+	}
+	if r.bytes.Add(int64(length)) > MaxHeadBytes {
+		return oops.Wrapf(ErrBroken, "interim responses are longer than %d bytes", MaxHeadBytes)
 	}
-	return n, err
+	return CheckHead(&http.Response{StatusCode: status, Header: http.Header(header)})
+}
+
+// endsWithConnection reports whether the body of a response has neither a length nor chunks. That of a compressed response has an end of its own.
+func endsWithConnection(response *http.Response) bool {
+	return response.ProtoMajor == 1 && !response.Uncompressed && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // requestWrite is the writing of a request, which may be repeated on another connection.
@@ -119,21 +135,29 @@
 	return w.err
 }
 
-// unframedBody is a body that ends with its connection. Its end is certain only once the request was written completely.
-type unframedBody struct {
+// checkedBody is a body whose end is checked.
+type checkedBody struct {
 	io.ReadCloser
+	// trailer holds the fields behind the body once that was read to its end.
+	trailer *http.Header
 	ctx     context.Context //nolint:containedctx // The body has the lifetime of the request.
+	// written is set if the body ends with its connection: its end is certain only once the request was written completely.
 	written *requestWrite
 }
 
 // Read implements io.Reader.
-func (b *unframedBody) Read(buffer []byte) (int, error) {
+func (b *checkedBody) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	if err != io.EOF {
 		return n, err
 	}
-	if writeErr := b.written.await(b.ctx); writeErr != nil {
-		return n, oops.Wrapf(ErrBroken, "connection ended before the request was sent completely: %v", writeErr)
+	if b.written != nil {
+		if err := b.written.await(b.ctx); err != nil {
+			return n, oops.Wrapf(ErrBroken, "connection ended before the request was sent completely: %v", err)
+		}
+	}
+	if err := CheckFields(*b.trailer); err != nil {
+		return n, err
 	}
 	return n, io.EOF
 }
--- a/internal/request/forward/broken_head_test.go
+++ b/internal/request/forward/broken_head_test.go
@@ -58,3 +58,25 @@
 		})
 	}
 }
+
+// TestBrokenFields guards against heads with fields that are not valid which reach callers: with that line, or with a body that is not the server's.
+func TestBrokenFields(t *testing.T) {
+	t.Parallel()
+	const chunks = "5\r\nhello\r\n0\r\n"
+	for name, response := range map[string]string{
+		"blank in a name":        signedHead("200 OK") + "X Bad: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"blank behind a name":    signedHead("200 OK") + "X-Bad : 1\r\nContent-Length: 5\r\n\r\nhello",
+		"blank before a name":    signedHead("200 OK") + " X-Bad: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"control byte":           signedHead("200 OK") + "X\x01Bad: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"error":                  signedHead("404 Not Found") + "X Bad: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"interim head":           "HTTP/1.1 100 Continue\r\nX Bad: 1\r\n\r\n" + signedHead("200 OK") + "Content-Length: 5\r\n\r\nhello",
+		"trailer":                signedHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "X Bad: 1\r\n\r\n",
+		"framing behind a blank": signedHead("200 OK") + "Transfer-Encoding : chunked\r\n\r\n" + chunks + "\r\n",
+		"chunks in HTTP/1.0":     "HTTP/1.0" + signedHead("200 OK")[len("HTTP/1.1"):] + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testBrokenHead(t, response)
+		})
+	}
+}
