What is kept of all responses has a bound

Seen: servers that send bytes which are no answer, or stop just before the limit of one response, make a router keep them: unfinished events of 230 requests took 88 MB of a router with 64 MiB, and heads of short fields within 64 KiB, for which net/http makes map entries, 255 MB. Bytes without end were cut at the limit of a head or an event already, and the process lived (47 MB).

Cause: heads, events and the start of bodies were bounded for each response, not in sum. At sidecars the same holds for events of 1 MiB and copies of completions of up to 64 MiB, and at entries for 8 MiB of each response.

Change: an account beside that of callers bounds what is kept of all responses to an eighth of the memory; its ledger has the one that holds most and moves least go. Usual responses (16 KiB) are free. direct and Transport ask for room before they keep a long head or have a large one parsed; the router, sidecars and entries before they keep events and bodies. A body without room is passed on early, a copy of a completion is dropped, anything else ends its attempt: the request is retried where it may run twice and the budget allows, otherwise refused as one that may have run. Heads and events beyond their own limit are counted as response_too_long, the others as response_dismissed and response_refused.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # Measures memory, so nothing else should run beside it.
 crowds:
-	./scripts/gotest ./crowd
+	./scripts/gotest ./crowd -timeout 10m
 
 measure:
 	go test ./bench -run '^$$' -bench . -benchtime 1x -timeout 30m
--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -31,6 +31,8 @@
 	readyTimeout    = 20 * time.Second
 	ordinaryTimeout = 30 * time.Second
 	watchInterval   = 20 * time.Millisecond
+	// brokenServers is the number of servers of the service "broken".
+	brokenServers = 8
 )
 
 // router is a router process.
@@ -46,8 +48,10 @@
 			{Name: "plain", Host: host, PathPrefix: "/p/", Kind: platform.Idempotent, Timeout: 5000, Service: "s", MaxServers: 2},
 			{Name: "large", Host: host, PathPrefix: "/large/", Kind: platform.Idempotent, Timeout: 20_000, Service: "s", MaxServers: 2},
 			{Name: "slow", Host: host, PathPrefix: "/slow/", Kind: platform.Idempotent, Timeout: 20_000, Service: "s", MaxServers: 2},
+			{Name: "broken", Host: host, PathPrefix: "/broken/get/", Kind: platform.Idempotent, Timeout: 5000, Service: "broken", MaxServers: 2},
+			{Name: "broken streams", Host: host, PathPrefix: "/broken/stream/", Kind: platform.Streaming, Timeout: 5000, Service: "broken", MaxServers: 2},
 		},
-		Services:  []platform.Service{{Name: "s", MaxConnections: 100}},
+		Services:  []platform.Service{{Name: "s", MaxConnections: 100}, {Name: "broken", MaxConnections: 1000}},
 		Customers: []platform.Customer{{Name: "school", Keys: []string{"right"}}},
 		Limits:    platform.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: 3000, IdleTimeout: 15_000},
 	}
@@ -55,6 +59,12 @@
 
 // startRouter starts a process with so much memory, in MiB, and so many descriptors, and waits until it is ready.
 func startRouter(t *testing.T, memory, descriptors int) *router {
+	t.Helper()
+	return startRouterWith(t, memory, descriptors, "")
+}
+
+// startRouterWith is like startRouter; unless it is empty, the address is that of the servers of the service "broken".
+func startRouterWith(t *testing.T, memory, descriptors int, broken string) *router {
 	t.Helper()
 	store, duties, server := platformtest.NewStore(), platformtest.NewDuties(), httptest.NewServer(http.HandlerFunc(serve))
 	t.Cleanup(store.Close)
@@ -64,6 +74,11 @@
 	store.Put(platform.ServersTable, "i-1", platform.Server{
 		Service: "s", Address: server.Listener.Addr().String(), Domain: "a", State: platform.ServerReady, Slots: 64, StartedUnixMS: 1,
 	})
+	for index := 0; broken != "" && index < brokenServers; index++ {
+		store.Put(platform.ServersTable, "i-broken-"+strconv.Itoa(index), platform.Server{
+			Service: "broken", Address: broken, Domain: "a", State: platform.ServerReady, Slots: 64, StartedUnixMS: 1,
+		})
+	}
 	addresses := freeAddresses(t, 4)
 	settings := filepath.Join(t.TempDir(), "settings")
 	content := platformtest.Settings(platformtest.SettingsConfig{
--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -19,6 +19,7 @@
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/httpresponse"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/configuration"
 	"vanillapond/pkg/ident"
@@ -47,6 +48,8 @@
 	// BaseURL is the backend's address, http://host:port.
 	BaseURL string
 	Kind    configuration.Kind
+	// Holdings bounds what is kept of all responses before it is passed on; nil bounds nothing.
+	Holdings *holdings.Account
 }
 
 // Backend sends requests to one backend.
@@ -117,6 +120,11 @@
 
 // Run sends a request and copies the response to writer; it returns ErrNotReached or ErrInterrupted if there is no complete one.
 func (b *Backend) Run(ctx context.Context, open *link.Open, writer ResponseWriter) (link.Usage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kept := &keptResponse{ResponseHolding: b.config.Holdings.OpenResponse(b.config.BaseURL, cancel)}
+	defer kept.Close()
+	ctx = httpresponse.WithReserve(ctx, kept.keepHead)
 	var reached atomic.Bool
 	request, mode, err := b.buildRequest(ctx, open, &reached)
 	if err != nil {
@@ -140,10 +148,22 @@
 	if err := writer.Head(response.StatusCode, EndToEndHeaders(response.Header)); err != nil {
 		return link.Usage{}, err
 	}
-	return b.copyResponse(response, mode, writer)
+	return b.copyResponse(response, mode, kept, writer)
 }
 
-func (b *Backend) copyResponse(response *http.Response, mode responseMode, writer ResponseWriter) (link.Usage, error) {
+// keptResponse is what is kept of a response before it is passed on.
+type keptResponse struct {
+	*holdings.ResponseHolding
+	// head is the memory of the head, if it takes more than usual.
+	head holdings.Bytes
+}
+
+func (k *keptResponse) keepHead(bytes int) error {
+	k.head = holdings.Bytes(bytes)
+	return k.Keep(k.head)
+}
+
+func (b *Backend) copyResponse(response *http.Response, mode responseMode, kept *keptResponse, writer ResponseWriter) (link.Usage, error) {
 	usage := link.Usage{Requests: 1}
 	var body io.Reader = response.Body
 	// Servers may declare the form that was asked for although an error response has another one.
@@ -153,7 +173,7 @@
 	}
 	if b.config.Kind == configuration.KindService {
 		if successful && eventstream.Is(response.Header) {
-			return usage, readEvents(body, func(event []byte) error {
+			return usage, readEvents(body, kept, func(event []byte) error {
 				_, err := writer.Write(event)
 				return err
 			})
@@ -164,9 +184,9 @@
 		return link.Usage{}, copyBody(writer, body)
 	}
 	if mode.stream {
-		return copyEvents(writer, body, mode.includeUsage)
+		return copyEvents(writer, body, kept, mode.includeUsage)
 	}
-	return copyCompletion(writer, body)
+	return copyCompletion(writer, body, kept)
 }
 
 // buildRequest builds the request to the backend, which sets reached as soon as a connection is assigned to it.
--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -11,6 +11,7 @@
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/pkg/api"
 	"vanillapond/pkg/ident"
 )
@@ -28,6 +29,9 @@
 // maxEventBytes bounds an event that is held until it is complete.
 const maxEventBytes = 1 << 20
 
+// bufferGrowth is the memory that a growing buffer takes at most, together with the former one, in relation to the bytes in it.
+const bufferGrowth = 3
+
 // eventBufferSize is the size of the read buffer, in bytes; a longer line of an event is read in several steps.
 const eventBufferSize = 16 << 10
 
@@ -63,8 +67,9 @@
 	return prepared, mode, err
 }
 
-// completionBuffer keeps a copy of a completion, unless it is longer than maxCompletionBytes.
+// completionBuffer keeps a copy of a completion, unless it is longer than maxCompletionBytes or there is no room for it.
 type completionBuffer struct {
+	kept    *keptResponse
 	content bytes.Buffer
 	// tooLong is set once the completion is too long; content is empty from then on.
 	tooLong bool
@@ -72,7 +77,8 @@
 
 // Write implements io.Writer.
 func (b *completionBuffer) Write(chunk []byte) (int, error) {
-	if b.content.Len()+len(chunk) > maxCompletionBytes {
+	length := b.content.Len() + len(chunk)
+	if length > maxCompletionBytes || length > b.content.Cap() && !b.kept.TryKeep(b.kept.head+holdings.Bytes(bufferGrowth*length)) {
 		b.tooLong, b.content = true, bytes.Buffer{}
 	}
 	if !b.tooLong {
@@ -82,9 +88,9 @@
 }
 
 // copyCompletion copies a response that is not streamed and returns its usage.
-func copyCompletion(w io.Writer, r io.Reader) (link.Usage, error) {
-	var body completionBuffer
-	if err := copyBody(w, io.TeeReader(r, &body)); err != nil {
+func copyCompletion(w io.Writer, r io.Reader, kept *keptResponse) (link.Usage, error) {
+	body := &completionBuffer{kept: kept}
+	if err := copyBody(w, io.TeeReader(r, body)); err != nil {
 		return link.Usage{}, err
 	}
 	var completion api.Completion
@@ -96,8 +102,9 @@
 
 // readEvents calls handle with each event of a stream as it is complete.
 //
-// It returns ErrInterrupted for a stream that ends inside an event, for an event that is too long, and for one that holds the head of another response.
-func readEvents(r io.Reader, handle func(event []byte) error) error {
+// It returns ErrInterrupted for a stream that ends inside an event, for an event that is too long or for which there is no room, and for one that holds the
+// head of another response.
+func readEvents(r io.Reader, kept *keptResponse, handle func(event []byte) error) error {
 	reader := bufio.NewReaderSize(r, eventBufferSize)
 	var event []byte
 	for {
@@ -105,6 +112,11 @@
 		if len(event)+len(line) > maxEventBytes {
 			return oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
 		}
+		if length := len(event) + len(line); length > cap(event) {
+			if keepErr := kept.Keep(kept.head + holdings.Bytes(bufferGrowth*length)); keepErr != nil {
+				return oops.Wrapf(ErrInterrupted, "%v", keepErr)
+			}
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -142,9 +154,9 @@
 // copyEvents copies the event stream of an engine until its end and returns its usage.
 //
 // It returns ErrInterrupted for a stream without the end marker.
-func copyEvents(w io.Writer, r io.Reader, includeUsage bool) (link.Usage, error) {
+func copyEvents(w io.Writer, r io.Reader, kept *keptResponse, includeUsage bool) (link.Usage, error) {
 	copier := &eventCopier{w: w, includeUsage: includeUsage}
-	if err := readEvents(r, copier.copy); err != nil {
+	if err := readEvents(r, kept, copier.copy); err != nil {
 		return copier.partialUsage(), err
 	}
 	return copier.finish()
--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -59,6 +59,9 @@
 	// Confirm is called when a connection is available, which may take a while, and before anything is sent; the request is given up
 	// if it returns false. nil means that the request is always sent.
 	Confirm func() bool
+	// Reserve is called before more memory than usual is kept for the heads of the response, with all that it takes in bytes; its error ends the request. nil
+	// is not called.
+	Reserve func(bytes int) error
 	// AtMostOnce means that the request must not run twice. It gets a new connection or one that was idle for at most
 	// atMostOnceIdleTimeout.
 	AtMostOnce bool
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -72,7 +72,7 @@
 
 func (l *readLimit) Read(buffer []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, oops.Wrapf(httpresponse.ErrBroken, "head is longer than %d bytes", httpresponse.MaxHeadBytes)
+		return 0, oops.Wrapf(httpresponse.ErrTooLong, "head is longer than %d bytes", httpresponse.MaxHeadBytes)
 	}
 	n, err := l.source.Read(buffer[:min(int64(len(buffer)), l.remaining)])
 	l.remaining -= int64(n)
@@ -197,7 +197,7 @@
 // readHead reads response heads until one belongs to the request; it skips interim responses and responses to other requests.
 func (r *Response) readHead(request *Request) error {
 	method := &http.Request{Method: request.Method}
-	r.conn.limit.remaining = httpresponse.MaxHeadBytes
+	r.conn.limit.remaining, r.conn.reader.Reserve = httpresponse.MaxHeadBytes, request.Reserve
 	for unmatched := 0; ; {
 		if _, err := r.conn.reader.NextHead(); err != nil {
 			return err
@@ -327,6 +327,8 @@
 	notCancelled := r.stopCancelWatch()
 	if notCancelled && r.complete && !r.closeAfter && !r.sawUnmatched && r.Written() && !r.writeFailed && c.idleTimeout > 0 &&
 		c.reader.Buffered() == 0 {
+		c.reader.Reserve = nil
+		c.reader.Shrink()
 		r.pool.release(c)
 		return
 	}
--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -30,6 +30,7 @@
 // Read implements net.Conn.
 func (c *checkedConn) Read(buffer []byte) (int, error) {
 	if c.headLeft == 0 && c.reader.Buffered() == 0 {
+		c.reader.Shrink()
 		// While an idle connection is read, a request may be assigned to it.
 		if _, err := c.reader.Peek(1); err != nil {
 			return 0, err
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -14,6 +14,9 @@
 const (
 	// readBufferSize fits a response's head and its first events.
 	readBufferSize = 4 << 10
+	// usualHeadBytes is the memory of a head up to which none is reserved, and lineBytes that of each line apart from its bytes: map entries.
+	usualHeadBytes = 8 << 10
+	lineBytes      = 256
 	// MaxHeadBytes bounds a response's head together with the interim responses before it.
 	MaxHeadBytes = 64 << 10
 )
@@ -22,7 +25,9 @@
 // parsed does not show them.
 type Reader struct {
 	*bufio.Reader
-	// small is the reader below Reader once a head did not fit into its buffer, nil before.
+	// Reserve is called before more memory than usual is kept for a head, with all that it takes in bytes; its error ends reading. nil is not called.
+	Reserve func(bytes int) error
+	// small is the reader below Reader while Reader has a buffer for a head that does not fit into the usual one, otherwise nil.
 	small *bufio.Reader
 }
 
@@ -39,6 +44,29 @@
 	return r.Reader.Buffered() + r.small.Buffered()
 }
 
+// Shrink gives up the buffer for a long head, if nothing is left in it. Nobody may use the bufio.Reader of that response any more.
+func (r *Reader) Shrink() {
+	if r.small != nil && r.Reader.Buffered() == 0 {
+		r.Reader, r.small = r.small, nil
+	}
+}
+
+// reserveHead asks for the memory of a head: its bytes, what net/http makes of its lines, and the buffer for a long one.
+func (r *Reader) reserveHead(head []byte) error {
+	size := len(head) + bytes.Count(head, []byte("\n"))*lineBytes
+	if r.small != nil {
+		size += MaxHeadBytes
+	}
+	return r.reserve(size)
+}
+
+func (r *Reader) reserve(size int) error {
+	if r.Reserve == nil || size <= usualHeadBytes {
+		return nil
+	}
+	return r.Reserve(size)
+}
+
 // NextHead waits for the head that comes next, checks its lines and returns its bytes, which are valid until the next call of a method; it does not consume
 // them. The error is ErrBroken if the head is not valid or too long, otherwise that of the source.
 func (r *Reader) NextHead() ([]byte, error) {
@@ -46,11 +74,21 @@
 		// Peek of what is buffered does not fail.
 		buffered, _ := r.Peek(r.Reader.Buffered())
 		if length := headLength(buffered); length > 0 {
-			return buffered[:length], checkLines(buffered[:length])
+			head := buffered[:length]
+			if err := checkLines(head); err != nil {
+				return nil, err
+			}
+			if err := r.reserveHead(head); err != nil {
+				return nil, err
+			}
+			return head, nil
 		}
 		if len(buffered) == r.Size() {
 			if r.small != nil {
-				return nil, oops.Wrapf(ErrBroken, "head is longer than %d bytes", MaxHeadBytes)
+				return nil, oops.Wrapf(ErrTooLong, "head is longer than %d bytes", MaxHeadBytes)
+			}
+			if err := r.reserve(MaxHeadBytes); err != nil {
+				return nil, err
 			}
 			r.small, r.Reader = r.Reader, bufio.NewReaderSize(r.Reader, MaxHeadBytes)
 		}
--- a/internal/httpresponse/reader_test.go
+++ b/internal/httpresponse/reader_test.go
@@ -40,7 +40,9 @@
 			found, err := reader.NextHead()
 			is.Equal(err == nil, valid)
 			is.Equal(err == nil, !errors.Is(err, httpresponse.ErrBroken))
-			is.Equal(string(found), head)
+			if valid {
+				is.Equal(string(found), head)
+			}
 			rest, err := io.ReadAll(reader)
 			is.NoErr(err)
 			is.Equal(string(rest), head+"hello")
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -53,7 +53,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	written, interim := &requestWrite{done: make(chan struct{})}, &interimResponses{}
-	trace := &httptrace.ClientTrace{GotConn: expectHead, Got1xxResponse: interim.check, WroteRequest: written.record}
+	trace := &httptrace.ClientTrace{GotConn: expectHead(request.Context()), Got1xxResponse: interim.check, WroteRequest: written.record}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -72,10 +72,24 @@
 	return response, nil
 }
 
-// expectHead prepares a connection for the response to a request. Connections with TLS carry other bytes; there, only what net/http has parsed is checked.
-func expectHead(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*checkedConn); ok {
-		conn.headExpected.Store(true)
+// reserveKey is the context key of the function of WithReserve.
+type reserveKey struct{}
+
+// WithReserve returns a context for a request: before more memory than usual is kept for the heads of the response, reserve is called with all that it takes
+// in bytes, and its error ends the request.
+func WithReserve(ctx context.Context, reserve func(bytes int) error) context.Context {
+	return context.WithValue(ctx, reserveKey{}, reserve)
+}
+
+// expectHead returns a function that prepares a connection for the response to a request. Connections with TLS carry other bytes; there, only what net/http
+// has parsed is checked.
+func expectHead(ctx context.Context) func(httptrace.GotConnInfo) {
+	reserve, _ := ctx.Value(reserveKey{}).(func(bytes int) error)
+	return func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*checkedConn); ok {
+			conn.reader.Reserve = reserve
+			conn.headExpected.Store(true)
+		}
 	}
 }
 
@@ -91,7 +105,7 @@
 		}
 	}
 	if r.bytes.Add(int64(length)) > MaxHeadBytes {
-		return oops.Wrapf(ErrBroken, "interim responses are longer than %d bytes", MaxHeadBytes)
+		return oops.Wrapf(ErrTooLong, "interim responses are longer than %d bytes", MaxHeadBytes)
 	}
 	return CheckHead(&http.Response{StatusCode: status, Header: http.Header(header)})
 }
--- a/internal/process/holdings/account.go
+++ b/internal/process/holdings/account.go
@@ -16,7 +16,7 @@
 // Event describes a holder that had to go, or that got no room.
 type Event struct {
 	Kind Kind
-	// Peer is the address of the caller.
+	// Peer is the address of the caller, or of the server for a response.
 	Peer string
 	// Held is what it held, Age how long it was there, and Still how long it had not moved.
 	Held       Bytes
@@ -25,6 +25,18 @@
 	Refused bool
 }
 
+// Name returns the name of the event in logs and metrics.
+func (e Event) Name() string {
+	who, what := "caller", "dismissed"
+	if e.Kind == Response {
+		who = "response"
+	}
+	if e.Refused {
+		what = "refused"
+	}
+	return who + "_" + what
+}
+
 // Config configures an Account.
 type Config struct {
 	Limits Limits
--- a/internal/process/holdings/ledger.go
+++ b/internal/process/holdings/ledger.go
@@ -1,4 +1,5 @@
-// Package holdings bounds what callers make a process hold: connections, and the bytes of the heads and bodies of their requests.
+// Package holdings bounds what callers make a process hold: connections, and the bytes of the heads and bodies of their requests. Another account bounds what
+// it keeps of the responses of servers.
 //
 // Ledger and its parts are decisions: the caller passes the time. Account adds the lock, and tells those that have to go.
 package holdings
@@ -19,6 +20,8 @@
 	Body Kind = "body"
 	// Stream is the head of a request that shares its connection with others.
 	Stream Kind = "stream"
+	// Response is what is kept of a server's response.
+	Response Kind = "response"
 )
 
 // Holder holds a part of what a Ledger bounds.
--- /dev/null
+++ b/internal/process/holdings/response.go
@@ -0,0 +1,77 @@
+package holdings
+
+// FreeResponseBytes is how much of each response is not counted: the usual head, and what is read at once.
+const FreeResponseBytes Bytes = 16 << 10
+
+// responseMemoryDivisor sets the fraction of the process's memory that may be kept of responses: half of what callers may hold.
+const responseMemoryDivisor = 2 * memoryDivisor
+
+// NewResponseLimits returns the limits of what a process with so much memory keeps of responses; 0 means that the default applies.
+func NewResponseLimits(memory Bytes) Limits {
+	if memory <= 0 {
+		memory = DefaultMemory
+	}
+	return Limits{Bytes: memory / responseMemoryDivisor, Largest: memory / responseMemoryDivisor}
+}
+
+// ResponseHolding is what is kept of one response before it is passed on; Close must be called. Its methods are called by one goroutine at a time.
+type ResponseHolding struct {
+	account *Account
+	server  string
+	leave   func()
+	// holding is nil until more than FreeResponseBytes are kept.
+	holding *Holding
+	// counted is what holding holds.
+	counted Bytes
+}
+
+// OpenResponse opens the holding of a server's response. leave is called at most once, if the response has to go for others, which hold less or move more; it
+// must neither block nor call the account, and has to make the owner call Close soon.
+func (a *Account) OpenResponse(server string, leave func()) *ResponseHolding {
+	return &ResponseHolding{account: a, server: server, leave: leave}
+}
+
+// Keep records that so many bytes of the response are kept from now on. The error is ErrNoRoom.
+func (r *ResponseHolding) Keep(bytes Bytes) error {
+	counted := max(bytes-FreeResponseBytes, 0)
+	switch {
+	case r.account == nil || counted == r.counted:
+		return nil
+	case counted < r.counted:
+		r.holding.Shrink(counted)
+	case r.holding == nil:
+		var err error
+		if r.holding, err = r.account.Open(Response, r.server, counted, r.leave); err != nil {
+			return err
+		}
+	default:
+		r.holding.Move(counted - r.counted)
+		if err := r.holding.Grow(counted - r.counted); err != nil {
+			return err
+		}
+	}
+	r.counted = counted
+	return nil
+}
+
+// TryKeep is like Keep, but reports false if others would have to go for it. The response does not have to go for others from then on.
+func (r *ResponseHolding) TryKeep(bytes Bytes) bool {
+	counted := bytes - FreeResponseBytes
+	if r.account == nil || counted <= r.counted {
+		return true
+	}
+	if r.holding == nil {
+		var err error
+		if r.holding, err = r.account.Open(Response, r.server, 0, r.leave); err != nil {
+			return false
+		}
+	}
+	if r.holding.Settle() != nil || !r.holding.TryGrow(counted-r.counted) {
+		return false
+	}
+	r.counted = counted
+	return true
+}
+
+// Close ends the holding; it may be called more than once. Once it has returned, leave is not called.
+func (r *ResponseHolding) Close() { r.holding.Close() }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -100,8 +100,10 @@
 	OnInvalidPause, OnInvalidLimit, OnInvalidLoad func(server ident.Endpoint, err error)
 	// OnFalseLoad receives each false load header of a server; nil is not called.
 	OnFalseLoad func(server ident.Endpoint, finding servermodel.Finding)
-	// Holdings bounds what all callers hold; nil bounds nothing.
-	Holdings *holdings.Account
+	// Holdings bounds what all callers hold, and Responses what is kept of all servers' responses before it is passed on; nil bounds nothing.
+	Holdings, Responses *holdings.Account
+	// OnTooLong is called for each response that was given up because a head or an event of it did not end; nil is not called.
+	OnTooLong func(server ident.Endpoint)
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -120,6 +122,9 @@
 	if config.HasCrashed == nil {
 		config.HasCrashed = func(*servers.Server, error) bool { return false }
 	}
+	if config.OnTooLong == nil {
+		config.OnTooLong = func(ident.Endpoint) {}
+	}
 	if config.PeersCurrent == nil {
 		config.PeersCurrent = func() bool { return false }
 	}
@@ -221,6 +226,8 @@
 	headWritten, responded bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
+	// kept is what is kept of the response to the current attempt.
+	kept *keptResponse
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
 	breakCause error
 	// attemptAt is when the current attempt began.
--- a/internal/request/forward/harness_test.go
+++ b/internal/request/forward/harness_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,10 +56,12 @@
 	shares       *fairshare.Controller
 	// onDial is called for each connection to a server, when the request is about to be sent on it.
 	onDial func()
-	// holdings bounds what the callers hold.
-	holdings *holdings.Account
-	mu       sync.Mutex
-	url      string
+	// holdings bounds what the callers hold, and responses what is kept of responses.
+	holdings, responses *holdings.Account
+	// tooLong counts the responses that did not end.
+	tooLong atomic.Int64
+	mu      sync.Mutex
+	url     string
 }
 
 // tier returns a pointer to a tier.
@@ -176,6 +179,7 @@
 	h := &harness{current: &routes.Current{}, started: make(map[ident.Customer]int), now: harnessStart, shares: fairshare.New()}
 	h.onDial = func() {}
 	h.holdings = holdings.New(holdings.Config{Limits: holdings.NewLimits(8<<20, 0)})
+	h.responses = holdings.New(holdings.Config{Limits: holdings.NewResponseLimits(8 << 20)})
 	h.servers = servers.New(servers.Config{
 		NewPool: func(server platform.Server) *direct.Pool {
 			return direct.New(direct.Config{Address: server.Address, DialTimeout: time.Second, OnDial: func() { h.onDial() }})
@@ -199,7 +203,7 @@
 	var crashes servers.CrashDetector
 	forwarder := forward.New(forward.Config{
 		Current: h.current, Servers: h.servers, Suspects: noSuspects{}, Quarantine: quarantine.New(quarantine.Config{}), HasCrashed: crashes.HasCrashed, Usage: h, Observe: h.observe, Now: h.clockReading,
-		PeersCurrent: h.arePeersCurrent, Holdings: h.holdings,
+		PeersCurrent: h.arePeersCurrent, Holdings: h.holdings, Responses: h.responses, OnTooLong: func(ident.Endpoint) { h.tooLong.Add(1) },
 		OnInvalidPause: h.recordInvalidPause, OnInvalidLoad: h.recordInvalidLoad, OnFalseLoad: h.recordFalseLoad, Origins: &h.origin,
 		Balancer:   func(ident.Pool) *placement.Balancer { return balancer },
 		Admission:  func(ident.Pool) *admission.Controller { return controller },
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -18,6 +18,8 @@
 	// maxBuffered is the size up to which a response is buffered completely before its head is written, so that an
 	// interrupted one can still be replaced by a retry.
 	maxBuffered = 64 << 10
+	// startSize is the size of the first buffer for a body.
+	startSize = 4 << 10
 	// readSize is the size of the read buffer for longer responses.
 	readSize = 4 << 10
 	// maxEventBytes bounds an event that is buffered until it is complete.
@@ -41,25 +43,55 @@
 		return c.relayStream(response, server, attempt)
 	}
 	c.countStart()
-	body, err := io.ReadAll(io.LimitReader(response, maxBuffered))
+	start, err := c.readStart(response)
 	if err != nil {
-		if c.ctx.Err() != nil {
+		if c.ctx.Err() != nil || c.kept.dismissed.Load() {
 			return lost, placement.Neutral
 		}
 		c.recordLoss(server, err)
 		return lost, placement.Failed
 	}
 	if !success {
-		return c.relayFailure(response, server, body)
+		return c.relayFailure(response, server, start)
 	}
 	c.recordFirstByte()
-	result := c.relayBody(response, server, body, outcomeServed, "")
+	result := c.relayBody(response, server, start, outcomeServed, "")
 	if c.record.Outcome == outcomeServed {
 		c.recordCompleted()
 	}
 	return done, result
 }
 
+// bodyStart is a body, or its first bytes.
+type bodyStart struct {
+	content []byte
+	// whole means that content is the body.
+	whole bool
+}
+
+// readStart reads a body up to maxBuffered bytes, or fewer if there is no room to keep more.
+func (c *call) readStart(response *direct.Response) (bodyStart, error) {
+	start := bodyStart{content: make([]byte, 0, startSize)}
+	for {
+		if length := len(start.content); length == cap(start.content) {
+			size := min(2*length, maxBuffered)
+			if length == maxBuffered || !c.kept.tryKeepBody(length+size) {
+				return start, nil
+			}
+			start.content = append(make([]byte, 0, size), start.content...)
+		}
+		n, err := response.Read(start.content[len(start.content):cap(start.content)])
+		start.content = start.content[:len(start.content)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			start.whole = true
+			return start, nil
+		case err != nil:
+			return start, err
+		}
+	}
+}
+
 // isContinuation reports whether a response may follow the events that the caller already has: only further events of the same kind
 // of stream may. Anything else would corrupt the stream, and its regular end would make the stream look complete.
 func (c *call) isContinuation(response *direct.Response) bool {
@@ -78,7 +110,7 @@
 }
 
 // relayFailure relays a server's error response, unless the request may be retried at another server.
-func (c *call) relayFailure(response *direct.Response, server *servers.Server, body []byte) (attemptResult, placement.Result) {
+func (c *call) relayFailure(response *direct.Response, server *servers.Server, start bodyStart) (attemptResult, placement.Result) {
 	if response.Status >= http.StatusInternalServerError && c.mayRetry(failedByServer) && time.Until(c.deadline) > minRemaining &&
 		c.budget().Remaining(c.forwarder.config.Now()) >= 1 {
 		return failedByServer, placement.ServerFailed
@@ -87,27 +119,26 @@
 	if c.relayedStatus(response.Status) != response.Status {
 		reason = reasonUnprovenRefusal
 	}
-	result := c.relayBody(response, server, body, outcomeServerFailure, reason)
+	result := c.relayBody(response, server, start, outcomeServerFailure, reason)
 	if response.Status >= http.StatusInternalServerError && result != placement.Failed {
 		result = placement.ServerFailed
 	}
 	return done, result
 }
 
-// relayBody relays a response whose body, or the first maxBuffered bytes of it, was read before; outcome and reason are those of a
-// complete response.
+// relayBody relays a response whose body was read, or the start of it; outcome and reason are those of a complete response.
 func (c *call) relayBody(
-	response *direct.Response, server *servers.Server, start []byte, outcome, reason string,
+	response *direct.Response, server *servers.Server, start bodyStart, outcome, reason string,
 ) placement.Result {
-	if len(start) < maxBuffered {
-		c.writeHead(response, len(start))
-		c.write(start)
+	if start.whole {
+		c.writeHead(response, len(start.content))
+		c.write(start.content)
 		c.finish(outcome, reason)
 		return placement.Succeeded
 	}
 	c.firstEventAt = time.Now()
 	c.writeHead(response, -1)
-	c.write(start)
+	c.write(start.content)
 	buffer := make([]byte, readSize)
 	for {
 		n, err := response.Read(buffer)
@@ -118,7 +149,7 @@
 			return placement.Succeeded
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
-			if c.ctx.Err() != nil {
+			if c.ctx.Err() != nil || c.kept.dismissed.Load() {
 				return placement.Neutral
 			}
 			c.recordLoss(server, err)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -10,6 +10,8 @@
 
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
+	"vanillapond/internal/httpresponse"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/admission"
 	"vanillapond/internal/request/placement"
@@ -239,9 +241,12 @@
 func (c *call) exchange(server *servers.Server, attempt *placement.Attempt, hasTurn bool) (attemptResult, placement.Result) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
+	c.kept = c.forwarder.openKept(server.Address, cancel)
+	defer c.kept.Close()
 	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
-		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body.Blocks(),
+		Reserve: c.kept.keepHead,
+		Method:  c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body.Blocks(),
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(), IdleSince: c.serverFailedAt,
 		Confirm: func() bool { return c.confirm(server, hasTurn) },
@@ -311,9 +316,12 @@
 		// A plain server probably started to run the request at once; an engine starts with the first event.
 		c.countStart()
 	}
-	if !failure.ConnectionFailed {
+	if !failure.ConnectionFailed || errors.Is(failure.Cause, holdings.ErrNoRoom) {
 		return lost, placement.Neutral
 	}
+	if errors.Is(failure.Cause, httpresponse.ErrTooLong) {
+		c.forwarder.config.OnTooLong(server.ID)
+	}
 	c.recordLoss(server, failure.Cause)
 	return lost, placement.Failed
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -9,9 +9,13 @@
 	"vanillapond/internal/connection/direct"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/request/placement"
 )
 
+// pendingGrowth is the memory that append takes at most for a buffer, together with the former one, in relation to the bytes in it.
+const pendingGrowth = 3
+
 // streamRelay relays the events of one server's response, each as soon as it is complete.
 type streamRelay struct {
 	call     *call
@@ -33,6 +37,9 @@
 	buffer := make([]byte, readSize)
 	for {
 		n, err := response.Read(buffer)
+		if keepErr := relay.keep(n); keepErr != nil {
+			return interruptedOrLost(c.headWritten), placement.Neutral
+		}
 		if !relay.add(buffer[:n]) {
 			return interruptedOrLost(c.headWritten), placement.Failed
 		}
@@ -41,12 +48,28 @@
 			c.recordCompleted()
 			c.finish(outcomeServed, "")
 			return done, placement.Succeeded
-		case err != nil || len(relay.pending) > maxEventBytes:
+		case err != nil:
 			return c.interruptedStream(server, err)
+		case len(relay.pending) > maxEventBytes:
+			c.forwarder.config.OnTooLong(server.ID)
+			return c.interruptedStream(server, httpresponse.ErrTooLong)
 		}
 	}
 }
 
+// keep makes room for the next bytes of the stream. The error is holdings.ErrNoRoom.
+func (r *streamRelay) keep(bytes int) error {
+	if len(r.pending) == 0 && cap(r.pending) > readSize {
+		r.pending = nil
+	}
+	needed := len(r.pending) + bytes
+	if needed > cap(r.pending) {
+		// append makes a larger buffer while the former one is still held.
+		return r.call.kept.keepBody(pendingGrowth * needed)
+	}
+	return nil
+}
+
 // add takes the next bytes of the stream and relays the events that they complete. It returns false at an event that does not belong to
 // the stream; those before it are relayed.
 func (r *streamRelay) add(chunk []byte) bool {
@@ -123,7 +146,7 @@
 
 // interruptedStream returns the results of a stream that was interrupted before its regular end.
 func (c *call) interruptedStream(server *servers.Server, cause error) (attemptResult, placement.Result) {
-	if c.ctx.Err() != nil {
+	if c.ctx.Err() != nil || c.kept.dismissed.Load() {
 		return interruptedOrLost(c.headWritten), placement.Neutral
 	}
 	c.recordLoss(server, cause)
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -74,8 +74,8 @@
 	Claims  Claims
 	// Entries returns the number of live entries that share the customers' limits; nil means 1.
 	Entries func() int
-	// Holdings bounds what all callers hold; nil bounds nothing.
-	Holdings *holdings.Account
+	// Holdings bounds what all callers hold, and Responses what is kept of all responses before it is passed on; nil bounds nothing.
+	Holdings, Responses *holdings.Account
 	// MaxBodySize is the limit on the size of a request body, in bytes; 0 means DefaultMaxBodySize.
 	MaxBodySize int64
 	// BodyReadTimeout is the limit on the time in which a caller must send its body; 0 means DefaultBodyReadTimeout.
@@ -238,7 +238,9 @@
 		return failure, false
 	}
 	defer response.Close()
-	relay := &relay{gateway: g, exchange: exchange, response: response}
+	kept := g.config.Responses.OpenResponse(string(exchange.pool.ID), func() {})
+	defer kept.Close()
+	relay := &relay{gateway: g, exchange: exchange, response: response, kept: kept}
 	failure = relay.run(ctx)
 	call.MayHaveRun[response.Endpoint.Configuration.ID] = true
 	return failure, true
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/outcome"
 	"vanillapond/internal/request/claim"
@@ -26,8 +27,9 @@
 	gateway  *Gateway
 	exchange *Exchange
 	response *dispatch.Response
-	// buffered is the part of the body received so far, until the head is written.
+	// buffered is the part of the body received so far, until the head is written, and kept accounts for it.
 	buffered []byte
+	kept     *holdings.ResponseHolding
 	// headWritten is set when the status and header were written to the caller.
 	headWritten bool
 	// position is that of the caller in an event stream.
@@ -83,7 +85,7 @@
 
 func (r *relay) writeData(data []byte) error {
 	r.exchange.result.tokens++
-	if !r.headWritten && (r.isEventStream() || len(r.buffered)+len(data) > maxBufferedBytes) {
+	if !r.headWritten && (r.isEventStream() || !r.hasRoom(len(r.buffered)+len(data))) {
 		r.flushHead()
 	}
 	if !r.headWritten {
@@ -100,6 +102,14 @@
 	return http.NewResponseController(r.exchange.writer).Flush()
 }
 
+// bufferGrowth is the memory that append takes at most for a buffer, together with the former one, in relation to the bytes in it.
+const bufferGrowth = 3
+
+// hasRoom reports whether so many bytes of the body may be buffered.
+func (r *relay) hasRoom(length int) bool {
+	return length <= cap(r.buffered) || length <= maxBufferedBytes && r.kept.TryKeep(holdings.Bytes(bufferGrowth*length))
+}
+
 // flushHead writes the head and the buffered part of the body.
 func (r *relay) flushHead() {
 	r.headWritten = true
@@ -107,6 +117,7 @@
 	writeHead(r.exchange, r.response.Head.Status, r.response.Head.Header)
 	_, _ = r.exchange.writer.Write(r.buffered)
 	r.buffered = nil
+	_ = r.kept.Keep(0)
 }
 
 // complete records a complete response in its claim before the caller gets the last part of it.
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -209,6 +209,7 @@
 		Metrics:   e.metrics,
 		Claims:    e.claims,
 		Holdings:  e.callers,
+		Responses: e.identity.NewResponseHoldings(e.config.Settings.Limits),
 	})
 	operatorAPI := operations.New(operations.Config{
 		Replica: e.replica, Snapshots: e.snapshots, Events: e.events, Propagator: e.watcher, RootDigest: e.config.Settings.RootOperator,
--- a/internal/role/member/holdings.go
+++ b/internal/role/member/holdings.go
@@ -85,6 +85,18 @@
 	return callers, internal
 }
 
+// NewResponseHoldings returns the account of what is kept of responses before they are passed on.
+func (m *Member) NewResponseHoldings(limits Limits) *holdings.Account {
+	responses := holdings.New(holdings.Config{Limits: holdings.NewResponseLimits(limits.memory()), Observe: m.holdings.observe})
+	for name, read := range map[string]func() float64{
+		"vanillapond_response_bytes":       func() float64 { return float64(responses.Bytes()) },
+		"vanillapond_response_bytes_limit": func() float64 { return float64(responses.Limits().Bytes) },
+	} {
+		m.Metrics.Gauge(name, "What is kept of responses, and may be kept.", read)
+	}
+	return responses
+}
+
 // maxHoldingEvents bounds the events per second about what had to go or got no room.
 const maxHoldingEvents = 50
 
@@ -106,11 +118,7 @@
 }
 
 func (o *holdingObserver) observe(seen holdings.Event) {
-	name := event.Name("caller_dismissed")
-	if seen.Refused {
-		name = "caller_refused"
-	}
-	o.record(name, string(seen.Kind), []event.Attribute{
+	o.record(event.Name(seen.Name()), string(seen.Kind), []event.Attribute{
 		{Key: "peer", Value: seen.Peer},
 		{Key: "held_bytes", Value: strconv.FormatInt(int64(seen.Held), 10)},
 		{Key: "age_ms", Value: strconv.FormatInt(seen.Age.Milliseconds(), 10)},
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -75,10 +75,10 @@
 	callerListener  *listener.Listener
 	readyListener   *listener.Listener
 	metricsListener *listener.Listener
-	// callers bounds what callers hold, and probes what the clients of the other listeners do.
-	callers, probes *holdings.Account
-	gossip          *gossip
-	origins         *origins
+	// callers bounds what callers hold, probes what the clients of the other listeners do, and responses what is kept of servers' responses.
+	callers, probes, responses *holdings.Account
+	gossip                     *gossip
+	origins                    *origins
 	// evacuated holds the failure domains that the operator has evacuated; only the loop that applies the operator's table uses it, and the
 	// set is replaced, never modified.
 	evacuated map[ident.FailureDomain]bool
@@ -136,6 +136,7 @@
 	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
 	r.callers, r.probes = r.newHoldings(callerLimits(settings)), r.newHoldings(probeLimits)
+	r.responses = r.newHoldings(holdings.NewResponseLimits(holdings.Bytes(settings.MemoryLimit)))
 	r.metrics = newMetrics(r)
 	r.journal = journal.New(journal.Config{Out: config.Log, OnDrop: r.metrics.countDroppedLine})
 	r.journal.Log("start", "process", settings.Process, "incarnation", incarnation, "build", config.Build,
@@ -245,7 +246,7 @@
 		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"), OnFalseLoad: r.recordFalseLoad,
-		Holdings: r.callers,
+		Holdings: r.callers, Responses: r.responses, OnTooLong: r.observeTooLong,
 		PeersCurrent: func() bool {
 			return r.peerFreshness.mostlyCurrent(clock.Boot(), overdueAge(r.bounds()))
 		},
--- a/internal/role/sidecar/sidecar.go
+++ b/internal/role/sidecar/sidecar.go
@@ -71,8 +71,10 @@
 		OrphanTimeout: config.Settings.OrphanTimeout(),
 	})
 	s.guard = guard.New(guard.Config{
-		Endpoint:           config.Settings.Endpoint,
-		Backend:            backend.New(backend.Config{BaseURL: config.Settings.Backend, Kind: config.Settings.Kind}),
+		Endpoint: config.Settings.Endpoint,
+		Backend: backend.New(backend.Config{
+			BaseURL: config.Settings.Backend, Kind: config.Settings.Kind, Holdings: identity.NewResponseHoldings(config.Settings.Limits),
+		}),
 		Events:             identity.Events,
 		Incarnation:        identity.Incarnation,
 		BroadcastSuspicion: func(suspicion suspect.Suspicion) { s.linkServer.Broadcast(s.guard.Load(), suspicion) },
