A stopping process answers each request that it has read

Callers saw: in a planned stop of one router, requests that came late in the grace period were taken and passed on, and at its end cut without an answer, among them requests that may not be repeated.

Cause: what was taken had only the caller's deadline as a bound. Bodies that arrived after the router had stopped to accept connections were passed on however little time was left; at the end the listener closed all connections. net/http also closes a connection, without a response, on which a request arrives after the call of Shutdown.

Change: grace.Period knows until when requests may come whose callers can't know of the stop, and by when all must be answered. A request begins to run only if it ends in time by its expected work, or, later than that, by its caller's deadline; otherwise it gets 503 with Retry-After, as not run. Shortly before the end attempts that still run are canceled, unless the caller gets the response already, and their callers get 502, bodies that still arrive 503. Drain stops accepting connections at once, as before, but calls Shutdown only when no request runs and no new connection is unused. The gateway of entries does the same.

TestRequestsInGrace of the gateway does not end without the change.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/samber/oops"
 
+	"vanillapond/internal/process/grace"
 	"vanillapond/internal/process/holdings"
 )
 
@@ -20,6 +22,8 @@
 	ErrTooLarge   = oops.Errorf("body is larger than allowed")
 	ErrLate       = oops.Errorf("body came too late")
 	ErrIncomplete = oops.Errorf("body is not whole")
+	// ErrStopping is returned if the process stops before the body has arrived.
+	ErrStopping = oops.Errorf("process stops before the body has arrived")
 )
 
 // Sizes of the blocks that hold a body, in bytes. They grow with what has arrived, so that a caller who sends little makes the process hold little.
@@ -44,6 +48,8 @@
 	Limit int64
 	// Deadline is when the body must have arrived.
 	Deadline time.Time
+	// Grace ends the reading at its end; nil never does.
+	Grace *grace.Period
 	// Account bounds what all callers hold; nil bounds nothing.
 	Account *holdings.Account
 	// Copies is how often the body is in memory while its request is handled; 0 means once.
@@ -78,6 +84,8 @@
 	if err != nil {
 		return nil, err
 	}
+	stopWatching := context.AfterFunc(config.Grace.Ended(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer stopWatching()
 	reading := reader{
 		body: &Body{holding: holding}, source: r.Body, remaining: r.ContentLength, limit: largest, copies: holdings.Bytes(max(config.Copies, 1)),
 	}
@@ -86,12 +94,16 @@
 		hadToGo := holding.Settle() != nil
 		reading.body.recycle()
 		holding.Close()
+		if errors.Is(err, os.ErrDeadlineExceeded) && config.Grace.Ended().Err() != nil {
+			return nil, ErrStopping
+		}
 		return nil, readError(err, hadToGo)
 	}
 	if err := holding.Settle(); err != nil {
 		holding.Close()
 		return nil, err
 	}
+	stopWatching()
 	// Once the body has been read to its end, net/http reads from the connection to detect that the caller disconnects.
 	_ = control.SetReadDeadline(time.Time{})
 	return reading.body, nil
--- a/internal/process/listener/conn.go
+++ b/internal/process/listener/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -36,6 +37,8 @@
 	config Config
 	// incomplete is shared by all connections.
 	incomplete *incompleteResponses
+	// unused counts the connections on which nothing has arrived yet.
+	unused *atomic.Int64
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
@@ -50,6 +53,8 @@
 			onHeadRefused: l.config.OnHeadRefused,
 		}
 		if accepted.hold(l.config.Holdings) {
+			l.unused.Add(1)
+			accepted.use = sync.OnceFunc(func() { l.unused.Add(-1) })
 			return accepted, nil
 		}
 		_ = conn.Close()
@@ -69,6 +74,8 @@
 	phase atomic.Int32
 	// idleSince is when the connection became idle; nil while it is in use.
 	idleSince atomic.Pointer[time.Time]
+	// use is called when something has arrived on the connection, and at its end; may be nil.
+	use func()
 	// writeFailed is set by the first failed write and never cleared.
 	writeFailed atomic.Bool
 	// incomplete is nil if responses are not tracked.
@@ -85,10 +92,18 @@
 	}
 }
 
+// markUsed records that something has arrived on the connection, or that it ends.
+func (c *deadlineConn) markUsed() {
+	if c.use != nil {
+		c.use()
+	}
+}
+
 // Close implements net.Conn. Once the handler has returned, net/http calls it after it has written the whole response.
 func (c *deadlineConn) Close() error {
 	c.endResponse()
 	c.holding.Close()
+	c.markUsed()
 	return c.Conn.Close()
 }
 
--- a/internal/process/listener/limits.go
+++ b/internal/process/listener/limits.go
@@ -38,6 +38,7 @@
 	}
 	switch state {
 	case http.StateActive:
+		tracked.markUsed()
 		tracked.phase.Store(int32(handlingRequest))
 		tracked.keepHeld()
 	case http.StateIdle:
--- a/internal/process/listener/listener.go
+++ b/internal/process/listener/listener.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/oops"
 
+	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/holdings"
 )
 
@@ -63,6 +64,8 @@
 	// keepAlivesDisabled is never reset.
 	keepAlivesDisabled atomic.Bool
 	incomplete         *incompleteResponses
+	// running counts the requests in handlers, and unused the connections on which nothing has arrived yet.
+	running, unused atomic.Int64
 }
 
 // Start listens and serves until Drain.
@@ -98,10 +101,10 @@
 				MaxReceiveBufferPerConnection: connectionBuffer, MaxReceiveBufferPerStream: streamBuffer,
 			},
 		},
-		socket:     deadlineListener{Listener: socket, config: config, incomplete: incomplete},
 		done:       make(chan struct{}),
 		incomplete: incomplete,
 	}
+	l.socket = deadlineListener{Listener: socket, config: config, incomplete: incomplete, unused: &l.unused}
 	handler := holdRequest(config.Holdings, recoverPanics(config.Handler, config.OnPanic))
 	l.server.Handler = incomplete.track(l.closeAfterResponse(handler))
 	go l.serve()
@@ -122,6 +125,8 @@
 // closeAfterResponse adds the header Connection: close to responses after DisableKeepAlives was called.
 func (l *Listener) closeAfterResponse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.running.Add(1)
+		defer l.running.Add(-1)
 		if l.keepAlivesDisabled.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -150,8 +155,18 @@
 // open.
 func (l *Listener) DisableKeepAlives() { l.keepAlivesDisabled.Store(true) }
 
-// Drain stops accepting connections and waits for the requests in flight; when ctx is done, it closes all connections.
+// drainInterval is the time between two checks whether a request is in flight.
+const drainInterval = 5 * time.Millisecond
+
+// Drain stops accepting connections and waits for the requests in flight; when ctx is done, it closes all connections. Requests that come meanwhile on open
+// connections go to the handler.
 func (l *Listener) Drain(ctx context.Context) {
+	_ = l.socket.Close()
+	// net/http closes connections on which a request arrives during Shutdown without a response, and those that are unused for headerTimeout at once.
+	unusedUntil := time.Now().Add(headerTimeout)
+	for ctx.Err() == nil && (l.running.Load() > 0 || l.unused.Load() > 0 && time.Now().Before(unusedUntil)) {
+		clock.Sleep(ctx, drainInterval, nil)
+	}
 	if err := l.server.Shutdown(ctx); err != nil {
 		l.incomplete.closeAll()
 		_ = l.server.Close()
--- a/internal/request/forward/authorize.go
+++ b/internal/request/forward/authorize.go
@@ -35,7 +35,7 @@
 
 // readBody reads the complete body into memory, so that the request can be retried. A body that arrives after the request's deadline is of no use.
 func (c *call) readBody(limits platform.Limits) *refusal {
-	config := body.Config{Limit: limits.BodyBytes, Deadline: c.arrived.Add(c.timeout()), Account: c.forwarder.config.Holdings}
+	config := body.Config{Limit: limits.BodyBytes, Deadline: c.arrived.Add(c.timeout()), Grace: c.forwarder.config.Grace, Account: c.forwarder.config.Holdings}
 	if config.Limit <= 0 {
 		config.Limit = defaultMaxBody
 	}
@@ -49,6 +49,10 @@
 			status: http.StatusServiceUnavailable, reason: reasonNoRoom, retryAfter: c.forwarder.config.Holdings.RetryAfter(),
 			closesConnection: true, ignoresContext: true,
 		}
+	case errors.Is(err, body.ErrStopping):
+		refused := stopping()
+		refused.ignoresContext = true
+		return refused
 	case errors.Is(err, body.ErrLate):
 		// net/http ends the context of all requests of a connection with the first error of reading from it.
 		return &refusal{status: http.StatusRequestTimeout, reason: "body came too late", closesConnection: true, ignoresContext: true}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -7,11 +7,13 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"vanillapond/internal/body"
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+	"vanillapond/internal/process/grace"
 	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/origin"
 	"vanillapond/internal/process/quarantine"
@@ -104,6 +106,8 @@
 	Holdings, Responses *holdings.Account
 	// OnTooLong is called for each response that was given up because a head or an event of it did not end; nil is not called.
 	OnTooLong func(server ident.Endpoint)
+	// Grace is the period in which this instance stops; nil never begins.
+	Grace *grace.Period
 	// Now reads a clock that advances while the machine is suspended; nil means clock.Boot.
 	Now func() clock.Reading
 }
@@ -224,6 +228,8 @@
 	wait   waitState
 	// headWritten is set once the status line and headers of a server's response were written to the caller, and responded once those of any were.
 	headWritten, responded bool
+	// headSent is headWritten for other goroutines.
+	headSent atomic.Bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// kept is what is kept of the response to the current attempt.
@@ -298,6 +304,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	defer c.cancelAtEndOfGrace(cancel)()
 	c.ctx = ctx
 	refused := c.findOrigin()
 	if refused == nil {
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -172,6 +172,7 @@
 		return
 	}
 	c.headWritten, c.responded = true, true
+	c.headSent.Store(true)
 	header := c.writer.Header()
 	upstream := response.Header
 	platform.RemoveHopByHopHeaders(upstream)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -88,6 +88,9 @@
 	if time.Until(c.deadline) < minRemaining {
 		return c.timedOut()
 	}
+	if refused := c.checkGrace(); refused != nil {
+		return refused
+	}
 	if refused := c.recheckParts(); refused != nil {
 		return refused
 	}
@@ -137,6 +140,8 @@
 		c.refuse(unavailable("caller has left", 0))
 	case time.Until(c.deadline) < minRemaining:
 		c.refuse(c.timedOut())
+	case c.isGraceOver():
+		c.refuse(stopping())
 	case result == refusedByServer:
 		c.refuse(lacksCapacity("servers are full", c.fullRetryAfter()))
 	default:
--- a/internal/request/forward/wait.go
+++ b/internal/request/forward/wait.go
@@ -9,10 +9,6 @@
 // reasonOthersWait is the reason of requests that were refused because more urgent ones wait.
 const reasonOthersWait = "more urgent requests wait for servers"
 
-// stoppingRetryAfter is the Retry-After of a request that this instance does not serve because it stops: other instances can, as soon as the caller's
-// next connection goes there.
-const stoppingRetryAfter = 300 * time.Millisecond
-
 // waitState is what a call knows of its wait for capacity.
 type waitState struct {
 	// decided is set once admission has decided on the request.
@@ -107,7 +103,7 @@
 var waitReasons = map[waiting.Outcome]string{
 	waiting.Displaced: reasonOthersWait,
 	waiting.Full:      "too many requests wait for servers",
-	waiting.Stopping:  "instance is stopping",
+	waiting.Stopping:  reasonStopping,
 }
 
 // stopWaiting records that the request does not wait any longer, and returns its refusal; nil if it is not refused.
--- a/internal/request/gateway/gateway.go
+++ b/internal/request/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"vanillapond/internal/body"
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/grace"
 	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/metrics"
@@ -76,6 +77,8 @@
 	Entries func() int
 	// Holdings bounds what all callers hold, and Responses what is kept of all responses before it is passed on; nil bounds nothing.
 	Holdings, Responses *holdings.Account
+	// Grace is the period in which this process stops; nil never begins.
+	Grace *grace.Period
 	// MaxBodySize is the limit on the size of a request body, in bytes; 0 means DefaultMaxBodySize.
 	MaxBodySize int64
 	// BodyReadTimeout is the limit on the time in which a caller must send its body; 0 means DefaultBodyReadTimeout.
@@ -190,6 +193,8 @@
 	defer func() { metered.End(exchange.metTargets()) }()
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.Started.Add(exchange.class.Deadline()))
 	defer cancel()
+	// Callers whose requests still run at the end get an answer.
+	defer context.AfterFunc(g.config.Grace.Ended(), cancel)()
 	call := dispatch.Call{
 		Open:              g.newOpenFrame(exchange),
 		Pool:              exchange.pool.ID,
--- a/internal/request/gateway/stages.go
+++ b/internal/request/gateway/stages.go
@@ -74,9 +74,11 @@
 // readBody reads the complete body within the limits on its size and time.
 func (g *Gateway) readBody(exchange *Exchange) *refusal.Error {
 	read, err := body.Read(exchange.writer, exchange.request, body.Config{
-		Limit: g.config.MaxBodySize, Deadline: time.Now().Add(g.config.BodyReadTimeout), Account: g.config.Holdings, Copies: bodyCopies,
+		Limit: g.config.MaxBodySize, Deadline: time.Now().Add(g.config.BodyReadTimeout), Grace: g.config.Grace, Account: g.config.Holdings, Copies: bodyCopies,
 	})
 	switch {
+	case errors.Is(err, body.ErrStopping):
+		return stopping()
 	case errors.Is(err, holdings.ErrNoRoom):
 		return refusal.Retryable(http.StatusServiceUnavailable, api.CodeOverloaded, err.Error(), g.config.Holdings.RetryAfter())
 	case errors.Is(err, body.ErrTooLarge):
@@ -93,6 +95,13 @@
 	return nil
 }
 
+// stoppingRetryAfter is the Retry-After of a request that this process does not serve because it stops: others can.
+const stoppingRetryAfter = time.Second
+
+func stopping() *refusal.Error {
+	return refusal.Retryable(http.StatusServiceUnavailable, api.CodeNotReady, "the entry is stopping", stoppingRetryAfter)
+}
+
 // bodyCopies is how often a body is in memory: as it came, as decoded text, in the frame of the link and in the message that carries it.
 const bodyCopies = 4
 
--- a/internal/request/gateway/withdrawal.go
+++ b/internal/request/gateway/withdrawal.go
@@ -65,6 +65,9 @@
 
 // recheck checks the request against the current configuration, which may have changed since the earlier stages.
 func (g *Gateway) recheck(exchange *Exchange) *refusal.Error {
+	if !g.config.Grace.Accepts(time.Now(), exchange.Started.Add(exchange.class.Deadline()), 0) {
+		return stopping()
+	}
 	if failure := g.checkFreshness(); failure != nil {
 		return failure
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -13,6 +13,7 @@
 	"vanillapond/internal/connection/platformclient"
 	"vanillapond/internal/process/certificate"
 	"vanillapond/internal/process/event"
+	"vanillapond/internal/process/grace"
 	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/listener"
@@ -73,6 +74,8 @@
 	metrics      *metrics.Metrics
 	readiness    *readiness
 	claims       *claim.Manager
+	// grace begins when the entry is asked to stop.
+	grace *grace.Period
 	// callers bounds what callers hold, and internal what operators and other processes do.
 	callers, internal *holdings.Account
 	suspects          *suspect.Registry
@@ -97,6 +100,7 @@
 		snapshots: new(snapshot.Holder),
 		meter:     scaling.NewMeter(),
 		suspects:  suspect.NewRegistry(),
+		grace:     grace.New(),
 	}
 	e.callers, e.internal = identity.NewHoldings(settings.Limits)
 	e.connectFleet(dialer)
@@ -209,6 +213,7 @@
 		Metrics:   e.metrics,
 		Claims:    e.claims,
 		Holdings:  e.callers,
+		Grace:     e.grace,
 		Responses: e.identity.NewResponseHoldings(e.config.Settings.Limits),
 	})
 	operatorAPI := operations.New(operations.Config{
@@ -279,11 +284,20 @@
 	return e.callerListener.Address(), e.operatorListener.Address(), e.privateListener.Address()
 }
 
+// Before the end of a planned stop, callers whose requests still run get an answer.
+const (
+	// answerReserve is the time before it, and answerReserveDivisor the largest part of the whole that it may take.
+	answerReserve        = 500 * time.Millisecond
+	answerReserveDivisor = 10
+)
+
 // Stop shuts the entry down gracefully: running requests are completed if they end within the drain timeout.
 func (e *Entry) Stop(ctx context.Context) {
 	e.events.Record(event.Event{Name: "entry_draining"})
-	ctx, cancel := context.WithTimeout(ctx, e.config.Settings.DrainTimeout())
+	start, timeout := time.Now(), e.config.Settings.DrainTimeout()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	e.grace.Begin(start.Add(e.config.Settings.BalancerDelay()), start.Add(timeout-min(answerReserve, timeout/answerReserveDivisor)))
 	e.readiness.drain()
 	e.scaling.stop(ctx)
 	e.reporting.stop(ctx)
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -20,6 +20,7 @@
 	"vanillapond/internal/connection/socket"
 	"vanillapond/internal/process/clock"
 	"vanillapond/internal/process/follow"
+	"vanillapond/internal/process/grace"
 	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/journal"
 	"vanillapond/internal/process/lease"
@@ -75,6 +76,8 @@
 	callerListener  *listener.Listener
 	readyListener   *listener.Listener
 	metricsListener *listener.Listener
+	// grace begins when the instance is asked to stop.
+	grace *grace.Period
 	// callers bounds what callers hold, probes what the clients of the other listeners do, and responses what is kept of servers' responses.
 	callers, probes, responses *holdings.Account
 	gossip                     *gossip
@@ -135,6 +138,7 @@
 	r.retryBudgets = newPerService(r.newRetryBudget)
 	r.waiting = newPerService(r.newWaiting)
 	r.currentBounds.Store(&settings.Bounds)
+	r.grace = grace.New()
 	r.callers, r.probes = r.newHoldings(callerLimits(settings)), r.newHoldings(probeLimits)
 	r.responses = r.newHoldings(holdings.NewResponseLimits(holdings.Bytes(settings.MemoryLimit)))
 	r.metrics = newMetrics(r)
@@ -246,7 +250,7 @@
 		Suspects: r.suspects, Quarantine: r.quarantine, HasCrashed: r.crashes.HasCrashed, Usage: r.counter, Origins: r.origins, Observe: r.observe,
 		OnInvalidPause: r.recordInvalid("pause_invalid"), OnInvalidLimit: r.recordInvalid("limit_invalid"),
 		OnInvalidLoad: r.recordInvalid("load_invalid"), OnFalseLoad: r.recordFalseLoad,
-		Holdings: r.callers, Responses: r.responses, OnTooLong: r.observeTooLong,
+		Grace: r.grace, Holdings: r.callers, Responses: r.responses, OnTooLong: r.observeTooLong,
 		PeersCurrent: func() bool {
 			return r.peerFreshness.mostlyCurrent(clock.Boot(), overdueAge(r.bounds()))
 		},
@@ -309,19 +313,21 @@
 // Stop shuts the process down gracefully: requests that end within the grace period are completed.
 func (r *Router) Stop(ctx context.Context) {
 	start := time.Now()
-	grace := r.bounds().Grace
-	r.journal.Log("stopping", "grace", grace)
+	end := start.Add(r.bounds().Grace - stopReserve)
+	acceptUntil := start.Add(min(drainAcceptTime, time.Until(end)))
+	r.journal.Log("stopping", "grace", r.bounds().Grace)
+	r.grace.Begin(acceptUntil, end.Add(-answerReserve))
 	r.health.drain()
 	r.stopWaiting()
 	r.callerListener.DisableKeepAlives()
 	r.cancelReporting()
 	r.reporting.Wait()
 	r.releaseLease(ctx)
-	clock.Sleep(ctx, time.Until(start.Add(drainAcceptTime)), nil)
-	drainCtx, cancel := context.WithDeadline(ctx, start.Add(grace-stopReserve))
+	clock.Sleep(ctx, time.Until(acceptUntil), nil)
+	drainCtx, cancel := context.WithDeadline(ctx, end)
 	r.callerListener.Drain(drainCtx)
 	cancel()
-	writeCtx, cancel := context.WithDeadline(ctx, start.Add(grace-stopReserve/2))
+	writeCtx, cancel := context.WithDeadline(ctx, end.Add(stopReserve/2))
 	if err := r.peers.Write(writeCtx, true); err != nil {
 		r.journal.Log("entry_unwritten", "err", err)
 	}
--- a/internal/role/router/times.go
+++ b/internal/role/router/times.go
@@ -62,6 +62,8 @@
 	// stopReserve is the time kept free at the end of the grace period. Requests that are still running when it begins are aborted;
 	// the last write of the usage counts may take its first half.
 	stopReserve = 600 * time.Millisecond
+	// answerReserve is the time before that in which callers whose requests still run get an answer: the write of some bytes on a busy machine.
+	answerReserve = 150 * time.Millisecond
 	// journalTimeout bounds the time to write the last log lines.
 	journalTimeout = 100 * time.Millisecond
 )
