--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -29,20 +29,11 @@
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(buffer []byte) (int, error) {
-	if c.headLeft == 0 && c.reader.Buffered() == 0 {
-		c.reader.Shrink()
-		// While an idle connection is read, a request may be assigned to it.
-		if _, err := c.reader.Peek(1); err != nil {
-			return 0, err
-		}
-	}
-	if c.headLeft == 0 && c.headExpected.Load() {
-		head, err := c.reader.NextHead()
-		if err != nil {
+	// net/http reads into a larger buffer than its own only inside a body, where no copy is needed.
+	if c.headLeft == 0 && len(buffer) <= readBufferSize {
+		if err := c.awaitHead(); err != nil {
 			return 0, err
 		}
-		c.headLeft = len(head)
-		c.headExpected.Store(isInterim(head))
 	}
 	if c.headLeft == 0 {
 		return c.reader.Read(buffer)
@@ -52,6 +43,27 @@
 	return n, err
 }
 
+// awaitHead waits for bytes and, if a head comes next, for the rest of it, and checks it.
+func (c *checkedConn) awaitHead() error {
+	if c.reader.Buffered() == 0 {
+		c.reader.Shrink()
+		// While an idle connection is read, a request may be assigned to it.
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+	}
+	if !c.headExpected.Load() {
+		return nil
+	}
+	head, err := c.reader.NextHead()
+	if err != nil {
+		return err
+	}
+	c.headLeft = len(head)
+	c.headExpected.Store(isInterim(head))
+	return nil
+}
+
 // isInterim reports whether another head follows the one of a response. What follows a switch of protocols is none.
 func isInterim(head []byte) bool {
 	const start = len("HTTP/1.1 ")
