holdings: one count for a response's head and what is kept beside it

Router and sidecars had the same sum of their own. No change of behaviour; tests of holdings, backend, forward and gateway pass with the race detector.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -122,9 +122,9 @@
 func (b *Backend) Run(ctx context.Context, open *link.Open, writer ResponseWriter) (link.Usage, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	kept := &keptResponse{ResponseHolding: b.config.Holdings.OpenResponse(b.config.BaseURL, cancel)}
+	kept := b.config.Holdings.OpenResponse(b.config.BaseURL, cancel)
 	defer kept.Close()
-	ctx = httpresponse.WithReserve(ctx, kept.keepHead)
+	ctx = httpresponse.WithReserve(ctx, kept.KeepHead)
 	var reached atomic.Bool
 	request, mode, err := b.buildRequest(ctx, open, &reached)
 	if err != nil {
@@ -151,19 +151,7 @@
 	return b.copyResponse(response, mode, kept, writer)
 }
 
-// keptResponse is what is kept of a response before it is passed on.
-type keptResponse struct {
-	*holdings.ResponseHolding
-	// head is the memory of the head, if it takes more than usual.
-	head holdings.Bytes
-}
-
-func (k *keptResponse) keepHead(bytes int) error {
-	k.head = holdings.Bytes(bytes)
-	return k.Keep(k.head)
-}
-
-func (b *Backend) copyResponse(response *http.Response, mode responseMode, kept *keptResponse, writer ResponseWriter) (link.Usage, error) {
+func (b *Backend) copyResponse(response *http.Response, mode responseMode, kept *holdings.ResponseHolding, writer ResponseWriter) (link.Usage, error) {
 	usage := link.Usage{Requests: 1}
 	var body io.Reader = response.Body
 	// Servers may declare the form that was asked for although an error response has another one.
--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -69,7 +69,7 @@
 
 // completionBuffer keeps a copy of a completion, unless it is longer than maxCompletionBytes or there is no room for it.
 type completionBuffer struct {
-	kept    *keptResponse
+	kept    *holdings.ResponseHolding
 	content bytes.Buffer
 	// tooLong is set once the completion is too long; content is empty from then on.
 	tooLong bool
@@ -78,7 +78,7 @@
 // Write implements io.Writer.
 func (b *completionBuffer) Write(chunk []byte) (int, error) {
 	length := b.content.Len() + len(chunk)
-	if length > maxCompletionBytes || length > b.content.Cap() && !b.kept.TryKeep(b.kept.head+holdings.Bytes(bufferGrowth*length)) {
+	if length > maxCompletionBytes || length > b.content.Cap() && !b.kept.TryKeep(bufferGrowth*length) {
 		b.tooLong, b.content = true, bytes.Buffer{}
 	}
 	if !b.tooLong {
@@ -88,7 +88,7 @@
 }
 
 // copyCompletion copies a response that is not streamed and returns its usage.
-func copyCompletion(w io.Writer, r io.Reader, kept *keptResponse) (link.Usage, error) {
+func copyCompletion(w io.Writer, r io.Reader, kept *holdings.ResponseHolding) (link.Usage, error) {
 	body := &completionBuffer{kept: kept}
 	if err := copyBody(w, io.TeeReader(r, body)); err != nil {
 		return link.Usage{}, err
@@ -104,7 +104,7 @@
 //
 // It returns ErrInterrupted for a stream that ends inside an event, for an event that is too long or for which there is no room, and for one that holds the
 // head of another response.
-func readEvents(r io.Reader, kept *keptResponse, handle func(event []byte) error) error {
+func readEvents(r io.Reader, kept *holdings.ResponseHolding, handle func(event []byte) error) error {
 	reader := bufio.NewReaderSize(r, eventBufferSize)
 	var event []byte
 	for {
@@ -113,7 +113,7 @@
 			return oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
 		}
 		if length := len(event) + len(line); length > cap(event) {
-			if keepErr := kept.Keep(kept.head + holdings.Bytes(bufferGrowth*length)); keepErr != nil {
+			if keepErr := kept.Keep(bufferGrowth * length); keepErr != nil {
 				return oops.Wrapf(ErrInterrupted, "%v", keepErr)
 			}
 		}
@@ -154,7 +154,7 @@
 // copyEvents copies the event stream of an engine until its end and returns its usage.
 //
 // It returns ErrInterrupted for a stream without the end marker.
-func copyEvents(w io.Writer, r io.Reader, kept *keptResponse, includeUsage bool) (link.Usage, error) {
+func copyEvents(w io.Writer, r io.Reader, kept *holdings.ResponseHolding, includeUsage bool) (link.Usage, error) {
 	copier := &eventCopier{w: w, includeUsage: includeUsage}
 	if err := readEvents(r, kept, copier.copy); err != nil {
 		return copier.partialUsage(), err
--- a/internal/process/holdings/response.go
+++ b/internal/process/holdings/response.go
@@ -19,6 +19,8 @@
 	account *Account
 	server  string
 	leave   func()
+	// head is what the head takes, if that is more than usual.
+	head Bytes
 	// holding is nil until more than FreeResponseBytes are kept.
 	holding *Holding
 	// counted is what holding holds.
@@ -31,9 +33,15 @@
 	return &ResponseHolding{account: a, server: server, leave: leave}
 }
 
-// Keep records that so many bytes of the response are kept from now on. The error is ErrNoRoom.
-func (r *ResponseHolding) Keep(bytes Bytes) error {
-	counted := max(bytes-FreeResponseBytes, 0)
+// KeepHead records that the head takes so many bytes. The error is ErrNoRoom.
+func (r *ResponseHolding) KeepHead(bytes int) error {
+	r.head = Bytes(bytes)
+	return r.Keep(0)
+}
+
+// Keep records that so many bytes are kept from now on beside the head. The error is ErrNoRoom.
+func (r *ResponseHolding) Keep(bytes int) error {
+	counted := max(r.head+Bytes(bytes)-FreeResponseBytes, 0)
 	switch {
 	case r.account == nil || counted == r.counted:
 		return nil
@@ -55,8 +63,8 @@
 }
 
 // TryKeep is like Keep, but reports false if others would have to go for it. The response does not have to go for others from then on.
-func (r *ResponseHolding) TryKeep(bytes Bytes) bool {
-	counted := bytes - FreeResponseBytes
+func (r *ResponseHolding) TryKeep(bytes int) bool {
+	counted := r.head + Bytes(bytes) - FreeResponseBytes
 	if r.account == nil || counted <= r.counted {
 		return true
 	}
--- a/internal/process/holdings/response_test.go
+++ b/internal/process/holdings/response_test.go
@@ -9,7 +9,10 @@
 	"vanillapond/internal/process/holdings"
 )
 
-const responseLimit holdings.Bytes = 1 << 20
+const responseLimit = 1 << 20
+
+// free is how much of each response is not counted.
+const free = int(holdings.FreeResponseBytes)
 
 func newResponseAccount(observe func(holdings.Event)) *holdings.Account {
 	return holdings.New(holdings.Config{Limits: holdings.NewResponseLimits(8 * responseLimit), Observe: observe})
@@ -22,9 +25,9 @@
 	is := is.New(t)
 	var events []holdings.Event
 	account := newResponseAccount(func(event holdings.Event) { events = append(events, event) })
-	is.Equal(account.Limits().Bytes, responseLimit)
+	is.Equal(account.Limits().Bytes, holdings.Bytes(responseLimit))
 	for range 1000 {
-		is.NoErr(account.OpenResponse("a", func() {}).Keep(holdings.FreeResponseBytes))
+		is.NoErr(account.OpenResponse("a", func() {}).Keep(free))
 	}
 	is.Equal(account.Bytes(), holdings.Bytes(0))
 	var left []int
@@ -36,7 +39,7 @@
 			go response.Close()
 		})
 		responses = append(responses, response)
-		if err := response.Keep(holdings.FreeResponseBytes + responseLimit/16); err != nil {
+		if err := response.Keep(free + responseLimit/16); err != nil {
 			is.True(errors.Is(err, holdings.ErrNoRoom))
 		}
 		is.True(account.Bytes() <= responseLimit)
@@ -58,7 +61,7 @@
 	var settled []*holdings.ResponseHolding
 	for range 40 {
 		response := account.OpenResponse("a", func() { t.Error("had to go") })
-		if response.TryKeep(holdings.FreeResponseBytes + responseLimit/64) {
+		if response.TryKeep(free + responseLimit/64) {
 			settled = append(settled, response)
 		}
 	}
@@ -81,11 +84,16 @@
 	account := newResponseAccount(nil)
 	response := account.OpenResponse("a", func() {})
 	is.NoErr(response.Keep(responseLimit / 2))
-	is.Equal(account.Bytes(), responseLimit/2-holdings.FreeResponseBytes)
+	is.Equal(account.Bytes(), holdings.Bytes(responseLimit/2-free))
 	is.NoErr(response.Keep(100))
 	is.Equal(account.Bytes(), holdings.Bytes(0))
+	is.NoErr(response.KeepHead(free))
+	is.Equal(account.Bytes(), holdings.Bytes(0))
+	is.NoErr(response.Keep(100))
+	is.Equal(account.Bytes(), holdings.Bytes(100))
+	is.NoErr(response.KeepHead(0))
 	is.NoErr(response.Keep(responseLimit / 4))
-	is.Equal(account.Bytes(), responseLimit/4-holdings.FreeResponseBytes)
+	is.Equal(account.Bytes(), holdings.Bytes(responseLimit/4-free))
 	response.Close()
 	response.Close()
 	is.Equal(account.Bytes(), holdings.Bytes(0))
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -75,7 +75,7 @@
 	for {
 		if length := len(start.content); length == cap(start.content) {
 			size := min(2*length, maxBuffered)
-			if length == maxBuffered || !c.kept.tryKeepBody(length+size) {
+			if length == maxBuffered || !c.kept.TryKeep(length+size) {
 				return start, nil
 			}
 			start.content = append(make([]byte, 0, size), start.content...)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -250,7 +250,7 @@
 	defer c.kept.Close()
 	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
-		Reserve: c.kept.keepHead,
+		Reserve: c.kept.KeepHead,
 		Method:  c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: c.serverHeader(server), Body: c.body.Blocks(),
 		ID: c.record.ID, IDHeader: platform.HeaderRequestID, RefusalHeaders: []string{platform.HeaderNotExecuted},
 		AtMostOnce: !c.mayRunTwice(), IdleSince: c.serverFailedAt,
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -65,7 +65,7 @@
 	needed := len(r.pending) + bytes
 	if needed > cap(r.pending) {
 		// append makes a larger buffer while the former one is still held.
-		return r.call.kept.keepBody(pendingGrowth * needed)
+		return r.call.kept.Keep(pendingGrowth * needed)
 	}
 	return nil
 }
--- a/internal/request/gateway/holdings_test.go
+++ b/internal/request/gateway/holdings_test.go
@@ -51,7 +51,7 @@
 			is := is.New(t)
 			account := holdings.New(holdings.Config{Limits: holdings.NewResponseLimits(8 << 20)})
 			full := account.OpenResponse("other", func() {})
-			is.NoErr(full.Keep(account.Limits().Bytes))
+			is.NoErr(full.Keep(int(account.Limits().Bytes)))
 			seen := make(chan struct{})
 			address := serveSidecar(t, handlerFunc(func(stream *link.Incoming) {
 				_ = stream.Accept(link.Load{Capacity: 1})
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -107,7 +107,7 @@
 
 // hasRoom reports whether so many bytes of the body may be buffered.
 func (r *relay) hasRoom(length int) bool {
-	return length <= cap(r.buffered) || length <= maxBufferedBytes && r.kept.TryKeep(holdings.Bytes(bufferGrowth*length))
+	return length <= cap(r.buffered) || length <= maxBufferedBytes && r.kept.TryKeep(bufferGrowth*length)
 }
 
 // flushHead writes the head and the buffered part of the body.
