Entries refuse fields that are not valid from sidecars

Callers saw such fields only behind sidecars of earlier versions: those of this one refuse the response of the backend. The gateway checks the head that a sidecar sends by the same rule and answers 502, which does not say that the request did not run.

--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -30,14 +30,22 @@
 // CheckFields returns ErrBroken for the fields of a head or a trailer if a name or a value is not valid.
 func CheckFields(fields http.Header) error {
 	for name, values := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return oops.Wrapf(ErrBroken, "name of a field is not valid: %.40q", name)
-		}
 		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return oops.Wrapf(ErrBroken, "value of field %.40q is not valid: %.40q", name, value)
+			if err := CheckField(name, value); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
+
+// CheckField returns ErrBroken for a field whose name or value is not valid.
+func CheckField(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return oops.Wrapf(ErrBroken, "name of a field is not valid: %.40q", name)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return oops.Wrapf(ErrBroken, "value of field %.40q is not valid: %.40q", name, value)
+	}
+	return nil
+}
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/eventstream"
+	"vanillapond/internal/httpresponse"
 	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/process/ledger"
 	"vanillapond/internal/process/outcome"
@@ -38,6 +39,12 @@
 
 // run relays the response until its end; it returns a refusal only if nothing was written to the caller yet.
 func (r *relay) run(ctx context.Context) *refusal.Error {
+	// Sidecars of earlier versions pass on such heads of backends.
+	for _, field := range r.response.Head.Header {
+		if err := httpresponse.CheckField(field.Name, field.Value); err != nil {
+			return r.abort(refusal.OutcomeUnknown(api.CodeEndpointFailed, "the endpoint sent a broken answer; the request may have run"))
+		}
+	}
 	r.replaceUnprovenRefusal()
 	for {
 		frame, err := r.response.Next(ctx)
--- a/internal/role/router/stop_test.go
+++ b/internal/role/router/stop_test.go
@@ -126,7 +126,7 @@
 				requests = append(requests,
 					lateRequest{path + takes, 2500 * time.Millisecond, at * time.Millisecond, at*time.Millisecond + 1, 20 * time.Second},
 					lateRequest{path + takes, time.Second, time.Second, at * time.Millisecond, 20 * time.Second},
-					lateRequest{path + takes, time.Second, time.Second, at * time.Millisecond, 1200*time.Millisecond + 200*time.Millisecond},
+					lateRequest{path + takes, time.Second, time.Second, at * time.Millisecond, 1400 * time.Millisecond},
 				)
 			}
 		}
