A server that reads the rest of a request slowly is not taken for broken

The server of that case ends its response in order and then reads the request at its own pace.

Cause, traced: the end of a response without a length waited at most 500 ms for the peer to acknowledge the whole request, however steadily it did; a slow reader, or a busy machine, takes longer.

Change: the wait ends when the peer has acknowledged nothing further for 2 s, which is longer than the kernel waits for an acknowledgment before it resets a connection to a server, or when the request's context is done.

--- a/internal/connection/direct/early_response_test.go
+++ b/internal/connection/direct/early_response_test.go
@@ -132,6 +132,16 @@
 		{"without a length", 200, respond(unframed, readWhole)},
 		{"HTTP/1.0", 200, respond("HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\nhello", readWhole)},
 		{"slow upload", 200, respond(unframed, readSlowly)},
+		{"ends long before the upload", 200, respond("", func(conn *net.TCPConn, body io.Reader) {
+			_, _ = io.WriteString(conn, unframed)
+			_ = conn.CloseWrite()
+			for {
+				if _, err := io.CopyN(io.Discard, body, uploadBytes/16); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})},
 		{"ends before the upload", 200, respond("", func(conn *net.TCPConn, body io.Reader) {
 			_, _ = io.WriteString(conn, unframed)
 			_ = conn.CloseWrite()
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -85,6 +85,8 @@
 	Header http.Header
 	// Framed means that the response has a length or is chunked; otherwise its body ends with the connection.
 	Framed bool
+	// ctx is the context of the request.
+	ctx context.Context //nolint:containedctx // The response has the lifetime of the request.
 	// endsWithConnection means that the body ends with the connection; a response that has no body is neither this nor Framed.
 	endsWithConnection bool
 	pool               *Pool
@@ -121,7 +123,7 @@
 		p.discard(c)
 		return nil, &Error{Outcome: outcome.NotRun, Cause: ErrNotConfirmed}
 	}
-	response := &Response{pool: p, conn: c, written: make(chan struct{})}
+	response := &Response{ctx: ctx, pool: p, conn: c, written: make(chan struct{})}
 	_ = c.SetDeadline(time.Time{})
 	response.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := response.exchange(request); err != nil {
@@ -304,7 +306,7 @@
 	}
 	// Writing ends with the context at the latest.
 	<-r.written
-	return !r.writeFailed && httpresponse.EndedInOrder(r.conn.Conn)
+	return !r.writeFailed && httpresponse.EndedInOrder(r.ctx, r.conn.Conn)
 }
 
 // Written reports whether writing the request has ended.
--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -76,7 +77,7 @@
 // Read implements io.Reader.
 func (e endCheck) Read(buffer []byte) (int, error) {
 	n, err := e.conn.Read(buffer)
-	if errors.Is(err, io.EOF) && !EndedInOrder(e.conn) {
+	if errors.Is(err, io.EOF) && !EndedInOrder(context.Background(), e.conn) {
 		return n, oops.Wrapf(ErrBroken, "connection was reset")
 	}
 	return n, err
--- a/internal/httpresponse/end.go
+++ b/internal/httpresponse/end.go
@@ -1,6 +1,8 @@
 package httpresponse
 
 import (
+	"context"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -9,9 +11,9 @@
 )
 
 const (
-	// acknowledgeTimeout bounds how long the peer may take to acknowledge the last bytes of a request once it has ended its response: several round trips
-	// within a region, or a retransmission.
-	acknowledgeTimeout = 500 * time.Millisecond
+	// acknowledgeTimeout bounds how long the peer may acknowledge no further byte of a request once it has ended its response. It is longer than the time after
+	// which the kernel gives up connections to servers, so that only the peer's pace counts.
+	acknowledgeTimeout = 2 * time.Second
 	// acknowledgeInterval is the time between two checks.
 	acknowledgeInterval = time.Millisecond
 )
@@ -20,8 +22,9 @@
 // end proves nothing about a response without a length.
 //
 // The end of file alone does not show this: a reset is reported once per socket, and if a write gets the error, reads get an end of file. A write that
-// succeeded may also have left its bytes in the socket. Connections that are no sockets count as ended in order.
-func EndedInOrder(conn net.Conn) bool {
+// succeeded may also have left its bytes in the socket. It waits while the peer takes more of them, until the context is done. Connections that are no sockets
+// count as ended in order.
+func EndedInOrder(ctx context.Context, conn net.Conn) bool {
 	for {
 		wrapper, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -37,14 +40,18 @@
 	if err != nil {
 		return false
 	}
-	for deadline := time.Now().Add(acknowledgeTimeout); ; time.Sleep(acknowledgeInterval) {
+	var stalledAt time.Time
+	for least := math.MaxInt; ; time.Sleep(acknowledgeInterval) {
 		reset, unacknowledged, err := inspect(raw)
+		now := time.Now()
 		switch {
 		case err != nil || reset:
 			return false
 		case unacknowledged == 0:
 			return true
-		case time.Now().After(deadline):
+		case unacknowledged < least:
+			least, stalledAt = unacknowledged, now.Add(acknowledgeTimeout)
+		case now.After(stalledAt) || ctx.Err() != nil:
 			return false
 		}
 	}
--- a/internal/httpresponse/transport_test.go
+++ b/internal/httpresponse/transport_test.go
@@ -125,7 +125,7 @@
 			}
 			_, err = conn.Read(make([]byte, 1))
 			is.Equal(err, io.EOF)
-			is.Equal(httpresponse.EndedInOrder(conn), c.inOrder)
+			is.Equal(httpresponse.EndedInOrder(t.Context(), conn), c.inOrder)
 		})
 	}
 }
