Responses: what the project had already is called, not written again

- A holding knows whether it had to go: forward kept a flag of its own beside Holding.IsDismissed, with a type and a file around it.
- backend.needsJSONCheck and Transport had the same rule for bodies that end with their connection; httpresponse.EndsWithConnection is the one now.
- The growth of buffers stood in three packages (holdings.BufferGrowth), and the memory of a line of a head in two (holdings.LineBytes).
- Reader.NextHead looked through a head from its start for each part of it that arrived, 64 KiB up to 64 Ki times for a server that sends bytes one by one; it goes on at the line that has not ended.

--- a/internal/connection/backend/completion.go
+++ b/internal/connection/backend/completion.go
@@ -29,9 +29,6 @@
 // maxEventBytes bounds an event that is held until it is complete.
 const maxEventBytes = 1 << 20
 
-// bufferGrowth is the memory that a growing buffer takes at most, together with the former one, in relation to the bytes in it.
-const bufferGrowth = 3
-
 // eventBufferSize is the size of the read buffer, in bytes; a longer line of an event is read in several steps.
 const eventBufferSize = 16 << 10
 
@@ -78,7 +75,7 @@
 // Write implements io.Writer.
 func (b *completionBuffer) Write(chunk []byte) (int, error) {
 	length := b.content.Len() + len(chunk)
-	if length > maxCompletionBytes || length > b.content.Cap() && !b.kept.TryKeep(bufferGrowth*length) {
+	if length > maxCompletionBytes || length > b.content.Cap() && !b.kept.TryKeep(holdings.BufferGrowth*length) {
 		b.tooLong, b.content = true, bytes.Buffer{}
 	}
 	if !b.tooLong {
@@ -113,7 +110,7 @@
 			return oops.Wrapf(ErrInterrupted, "event is longer than %d bytes", maxEventBytes)
 		}
 		if length := len(event) + len(line); length > cap(event) {
-			if keepErr := kept.Keep(bufferGrowth * length); keepErr != nil {
+			if keepErr := kept.Keep(holdings.BufferGrowth * length); keepErr != nil {
 				return oops.Wrapf(ErrInterrupted, "%v", keepErr)
 			}
 		}
--- a/internal/connection/backend/jsontext.go
+++ b/internal/connection/backend/jsontext.go
@@ -4,6 +4,8 @@
 	"io"
 	"mime"
 	"net/http"
+
+	"vanillapond/internal/httpresponse"
 )
 
 // jsonMediaType is the media type of JSON texts.
@@ -12,9 +14,7 @@
 // needsJSONCheck reports whether the end of a response is the end of its connection, so that only its content tells whether it was
 // truncated, and whether this content is JSON.
 func needsJSONCheck(response *http.Response) bool {
-	// net/http removes the length of a response that it has decompressed; the compressed form has an end of its own.
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed
-	if framed || response.Request.Method == http.MethodHead || response.Header.Get("Content-Encoding") != "" {
+	if !httpresponse.EndsWithConnection(response) || response.Request.Method == http.MethodHead || response.Header.Get("Content-Encoding") != "" {
 		return false
 	}
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -9,14 +9,15 @@
 
 	"github.com/samber/oops"
 	"golang.org/x/net/http/httpguts"
+
+	"vanillapond/internal/process/holdings"
 )
 
 const (
 	// readBufferSize fits a response's head and its first events.
 	readBufferSize = 4 << 10
-	// usualHeadBytes is the memory of a head up to which none is reserved, and lineBytes that of each line apart from its bytes: map entries.
+	// usualHeadBytes is the memory of a head up to which none is reserved.
 	usualHeadBytes = 8 << 10
-	lineBytes      = 256
 	// MaxHeadBytes bounds a response's head together with the interim responses before it.
 	MaxHeadBytes = 64 << 10
 )
@@ -53,7 +54,7 @@
 
 // reserveHead asks for the memory of a head: its bytes, what net/http makes of its lines, and the buffer for a long one.
 func (r *Reader) reserveHead(head []byte) error {
-	size := len(head) + bytes.Count(head, []byte("\n"))*lineBytes
+	size := len(head) + bytes.Count(head, []byte("\n"))*int(holdings.LineBytes)
 	if r.small != nil {
 		size += MaxHeadBytes
 	}
@@ -70,11 +71,12 @@
 // NextHead waits for the head that comes next, checks its lines and returns its bytes, which are valid until the next call of a method; it does not consume
 // them. The error is ErrBroken if the head is not valid or too long, otherwise that of the source.
 func (r *Reader) NextHead() ([]byte, error) {
-	for {
+	for lastLine := 0; ; {
 		// Peek of what is buffered does not fail.
 		buffered, _ := r.Peek(r.Reader.Buffered())
-		if length := headLength(buffered); length > 0 {
-			head := buffered[:length]
+		var end int
+		if end, lastLine = headEnd(buffered, lastLine); end > 0 {
+			head := buffered[:end]
 			if err := checkLines(head); err != nil {
 				return nil, err
 			}
@@ -101,16 +103,19 @@
 	}
 }
 
-// headLength returns the length of the head at the start of some bytes, with the empty line at its end; 0 if it has not ended.
-func headLength(content []byte) int {
-	length := 0
-	for line := range bytes.Lines(content) {
-		length += len(line)
-		if isEmptyLine(line) {
-			return length
+// headEnd looks for the empty line that ends a head, from the start of a line on. It returns the end of the head, or 0 and the start of the line that has not
+// ended.
+func headEnd(content []byte, start int) (end, lastLine int) {
+	for {
+		length := bytes.IndexByte(content[start:], '\n') + 1
+		if length == 0 {
+			return 0, start
+		}
+		if isEmptyLine(content[start : start+length]) {
+			return start + length, start
 		}
+		start += length
 	}
-	return 0
 }
 
 func isEmptyLine(line []byte) bool { return string(line) == "\r\n" || string(line) == "\n" }
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -64,7 +64,7 @@
 	}
 	if response.StatusCode != http.StatusSwitchingProtocols && response.Body != http.NoBody {
 		checked := &checkedBody{ReadCloser: response.Body, trailer: &response.Trailer, ctx: request.Context()}
-		if endsWithConnection(response) {
+		if EndsWithConnection(response) {
 			checked.written = written
 		}
 		response.Body = checked
@@ -110,8 +110,9 @@
 	return CheckHead(&http.Response{StatusCode: status, Header: http.Header(header)})
 }
 
-// endsWithConnection reports whether the body of a response has neither a length nor chunks. That of a compressed response has an end of its own.
-func endsWithConnection(response *http.Response) bool {
+// EndsWithConnection reports whether the body of a response, if it has one, has neither a length nor chunks. net/http removes the length of a response that it
+// has decompressed; the compressed form has an end of its own.
+func EndsWithConnection(response *http.Response) bool {
 	return response.ProtoMajor == 1 && !response.Uncompressed && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
--- a/internal/process/holdings/response.go
+++ b/internal/process/holdings/response.go
@@ -3,6 +3,9 @@
 // FreeResponseBytes is how much of each response is not counted: the usual head, and what is read at once.
 const FreeResponseBytes Bytes = 16 << 10
 
+// BufferGrowth is the memory that a buffer takes at most while it grows, together with the former one, in relation to the bytes in it.
+const BufferGrowth = 3
+
 // responseMemoryDivisor sets the fraction of the process's memory that may be kept of responses: half of what callers may hold.
 const responseMemoryDivisor = 2 * memoryDivisor
 
@@ -81,5 +84,8 @@
 	return true
 }
 
+// IsDismissed reports whether the response had to go for others and is not closed yet.
+func (r *ResponseHolding) IsDismissed() bool { return r.holding.IsDismissed() }
+
 // Close ends the holding; it may be called more than once. Once it has returned, leave is not called.
 func (r *ResponseHolding) Close() { r.holding.Close() }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -233,7 +233,7 @@
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	// kept is what is kept of the response to the current attempt.
-	kept *keptResponse
+	kept *holdings.ResponseHolding
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
 	breakCause error
 	// attemptAt is when the current attempt began.
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -45,7 +45,7 @@
 	c.countStart()
 	start, err := c.readStart(response)
 	if err != nil {
-		if c.ctx.Err() != nil || c.kept.dismissed.Load() {
+		if c.ctx.Err() != nil || c.kept.IsDismissed() {
 			return lost, placement.Neutral
 		}
 		c.recordLoss(server, err)
@@ -149,7 +149,7 @@
 			return placement.Succeeded
 		case err != nil:
 			c.finish(outcomeTruncated, "server broke off a long answer")
-			if c.ctx.Err() != nil || c.kept.dismissed.Load() {
+			if c.ctx.Err() != nil || c.kept.IsDismissed() {
 				return placement.Neutral
 			}
 			c.recordLoss(server, err)
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -246,7 +246,7 @@
 func (c *call) exchange(server *servers.Server, attempt *placement.Attempt, hasTurn bool) (attemptResult, placement.Result) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	c.kept = c.forwarder.openKept(server.Address, cancel)
+	c.kept = c.forwarder.config.Responses.OpenResponse(server.Address, cancel)
 	defer c.kept.Close()
 	c.sentAt = c.forwarder.config.Now()
 	response, err := server.Pool.Send(ctx, &direct.Request{
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -10,12 +10,10 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/eventstream"
 	"vanillapond/internal/httpresponse"
+	"vanillapond/internal/process/holdings"
 	"vanillapond/internal/request/placement"
 )
 
-// pendingGrowth is the memory that append takes at most for a buffer, together with the former one, in relation to the bytes in it.
-const pendingGrowth = 3
-
 // streamRelay relays the events of one server's response, each as soon as it is complete.
 type streamRelay struct {
 	call     *call
@@ -64,8 +62,7 @@
 	}
 	needed := len(r.pending) + bytes
 	if needed > cap(r.pending) {
-		// append makes a larger buffer while the former one is still held.
-		return r.call.kept.Keep(pendingGrowth * needed)
+		return r.call.kept.Keep(holdings.BufferGrowth * needed)
 	}
 	return nil
 }
@@ -146,7 +143,7 @@
 
 // interruptedStream returns the results of a stream that was interrupted before its regular end.
 func (c *call) interruptedStream(server *servers.Server, cause error) (attemptResult, placement.Result) {
-	if c.ctx.Err() != nil || c.kept.dismissed.Load() {
+	if c.ctx.Err() != nil || c.kept.IsDismissed() {
 		return interruptedOrLost(c.headWritten), placement.Neutral
 	}
 	c.recordLoss(server, cause)
--- a/internal/request/gateway/relay.go
+++ b/internal/request/gateway/relay.go
@@ -109,12 +109,9 @@
 	return http.NewResponseController(r.exchange.writer).Flush()
 }
 
-// bufferGrowth is the memory that append takes at most for a buffer, together with the former one, in relation to the bytes in it.
-const bufferGrowth = 3
-
 // hasRoom reports whether so many bytes of the body may be buffered.
 func (r *relay) hasRoom(length int) bool {
-	return length <= cap(r.buffered) || length <= maxBufferedBytes && r.kept.TryKeep(bufferGrowth*length)
+	return length <= cap(r.buffered) || length <= maxBufferedBytes && r.kept.TryKeep(holdings.BufferGrowth*length)
 }
 
 // flushHead writes the head and the buffered part of the body.
