--- a/internal/connection/backend/early_response_test.go
+++ b/internal/connection/backend/early_response_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"vanillapond/internal/connection/backend"
 	"vanillapond/internal/connection/link"
@@ -29,19 +30,25 @@
 		{"completion", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}", configuration.KindEngine},
 		{"stream", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n", configuration.KindEngine},
 	} {
-		for _, idempotent := range []bool{false, true} {
-			t.Run(c.name, func(t *testing.T) {
+		for _, end := range []rawstub.Script{
+			{Ending: rawstub.Closes},
+			{Ending: rawstub.Closes, Delay: time.Millisecond},
+			{Ending: rawstub.Resets},
+			{Ending: rawstub.Resets, Delay: time.Millisecond},
+			{Ending: rawstub.HalfCloses},
+		} {
+			t.Run(c.name+"/"+string(end.Ending)+"/"+end.Delay.String(), func(t *testing.T) {
 				t.Parallel()
-				address := rawstub.StartScript(t, rawstub.Script{Response: c.response, Early: true, Ending: rawstub.Closes})
+				address := rawstub.StartScript(t, rawstub.Script{Response: c.response, Early: true, Ending: end.Ending, Delay: end.Delay})
 				server := backend.New(backend.Config{BaseURL: "http://" + address, Kind: c.kind})
 				body := `{"prompt":"` + strings.Repeat("x", 3<<20) + `"}`
 				if c.name == "stream" {
 					body = `{"stream":true,` + body[1:]
 				}
-				for try := range tries {
+				for try := range 2 * tries {
 					var got capturedHead
 					_, err := server.Run(t.Context(), &link.Open{
-						Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body), Request: "r1", Idempotent: idempotent,
+						Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body), Request: "r1", Idempotent: try%2 == 0,
 					}, &got)
 					if !errors.Is(err, backend.ErrInterrupted) {
 						t.Fatalf("try %d: status %d, %q: got %v, want ErrInterrupted", try, got.status, got.body.String(), err)
--- a/internal/request/forward/early_response_test.go
+++ b/internal/request/forward/early_response_test.go
@@ -71,18 +71,20 @@
 			"error":  signedHead("500 Internal Server Error") + "\r\npart",
 			"denial": signedHead("404 Not Found") + "\r\npart",
 		} {
-			t.Run(path+name, func(t *testing.T) {
-				t.Parallel()
-				address := rawstub.StartScript(t, rawstub.Script{Response: response, Early: true, Ending: rawstub.Closes})
-				h := newUploadHarness(t, address, address)
-				for try := range tries {
-					h.registerAt(try+2, address, address)
-					got, body, err := h.upload(t, path)
-					if err == nil && got.Header.Get(platform.HeaderSignature) != "" {
-						t.Fatalf("try %d: status %d and %d bytes were passed on as whole", try, got.StatusCode, len(body))
+			for _, end := range []rawstub.Ending{rawstub.Closes, rawstub.Resets, rawstub.HalfCloses} {
+				t.Run(path+name+"/"+string(end), func(t *testing.T) {
+					t.Parallel()
+					address := rawstub.StartScript(t, rawstub.Script{Response: response, Early: true, Ending: end})
+					h := newUploadHarness(t, address, address)
+					for try := range tries {
+						h.registerAt(try+2, address, address)
+						got, body, err := h.upload(t, path)
+						if err == nil && got.Header.Get(platform.HeaderSignature) != "" {
+							t.Fatalf("try %d: status %d and %d bytes were passed on as whole", try, got.StatusCode, len(body))
+						}
 					}
-				}
-			})
+				})
+			}
 		}
 	}
 }
--- a/internal/request/gateway/broken_head_test.go
+++ b/internal/request/gateway/broken_head_test.go
@@ -24,7 +24,7 @@
 				_, _ = io.WriteString(stream, "hello")
 				_ = stream.End(link.Usage{}, link.Load{Capacity: 1})
 			}), false)
-			status, header, body := postTo(t, address, strings.NewReader("body"))
+			status, header, body := postToService(t, address, strings.NewReader("body"))
 			is.Equal(status, want)
 			is.Equal(len(header[name]) > 0, want == http.StatusOK)
 			is.True(!strings.Contains(body, `"not_run":true`))
--- a/internal/request/gateway/grace_test.go
+++ b/internal/request/gateway/grace_test.go
@@ -13,29 +13,8 @@
 	"vanillapond/internal/connection/link"
 	"vanillapond/internal/process/grace"
 	"vanillapond/internal/request/gateway"
-	"vanillapond/pkg/api"
 )
 
-// postTo sends a request with a body to an entry.
-func postTo(t *testing.T, address string, body io.Reader) (status int, header http.Header, content string) {
-	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/service/", body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set(api.HeaderAPIKey, "key")
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
-	if err != nil {
-		t.Fatalf("ended without an answer: %v", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatalf("ended without a whole answer: %v", err)
-	}
-	return response.StatusCode, response.Header, string(text)
-}
-
 // TestRequestsInGrace guards against requests that end without an answer when an entry stops: one that runs at the end is told that it may have run, and one
 // that came late, or whose body did, that it did not run and when to come back.
 func TestRequestsInGrace(t *testing.T) {
@@ -65,7 +44,7 @@
 				_ = writer.Close()
 			}()
 			go func() {
-				status, header, body := postTo(t, address, reader)
+				status, header, body := postToService(t, address, reader)
 				if status == http.StatusServiceUnavailable && (header.Get("Retry-After") == "" || !strings.Contains(body, `"not_run":true`)) {
 					t.Errorf("late request: got %v %s", header, body)
 				}
@@ -75,7 +54,7 @@
 			stalled := make(chan int, 1)
 			go func() {
 				_, _ = io.WriteString(endless, "half")
-				status, _, _ := postTo(t, address, never)
+				status, _, _ := postToService(t, address, never)
 				stalled <- status
 			}()
 			go func() {
@@ -83,7 +62,7 @@
 				time.Sleep(2 * whole)
 				_ = endless.Close()
 			}()
-			status, _, body := postTo(t, address, strings.NewReader("body"))
+			status, _, body := postToService(t, address, strings.NewReader("body"))
 			is.True(time.Since(start) < whole+500*time.Millisecond)
 			is.True(status == http.StatusBadGateway || status == http.StatusGatewayTimeout)
 			is.True(!strings.Contains(body, `"not_run":true`))
--- a/internal/request/gateway/unproven_refusal_test.go
+++ b/internal/request/gateway/unproven_refusal_test.go
@@ -21,21 +21,30 @@
 // sendToService sends one request and returns its response with the body.
 func sendToService(t *testing.T, address string) (status int, header http.Header, body string) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/service/", nil)
+	return postToService(t, address, nil)
+}
+
+// postToService does the same with a body; any goroutine may call it. The status is 0 if there is no whole response.
+func postToService(t *testing.T, address string, content io.Reader) (status int, header http.Header, body string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, address+"/service/", content)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0, nil, ""
 	}
 	request.Header.Set(api.HeaderAPIKey, "key")
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
-		t.Fatal(err)
+		t.Errorf("ended without a response: %v", err)
+		return 0, nil, ""
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(response.Body)
 	if err != nil {
-		t.Fatal(err)
+		t.Errorf("ended without a whole response: %v", err)
+		return 0, nil, ""
 	}
-	return response.StatusCode, response.Header, string(content)
+	return response.StatusCode, response.Header, string(text)
 }
 
 // TestUnprovenRefusalOfEndpoint guards against requests that run twice: an endpoint runs a request of a class that is not idempotent and responds with a
