--- /dev/null
+++ b/review/testbed-3/bed.go
@@ -0,0 +1,311 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+
+	"vanillapond/platform/platformtest"
+)
+
+// Bounds of the deployment, as on the sheet of vzorovna-sk.
+const (
+	contactBound = 3 * time.Second
+	revokeBound  = 5 * time.Second
+)
+
+// memoryMB is the memory of a router's machine, in MiB, as on that sheet.
+const memoryMB = 134
+
+// Times of the test bed.
+const (
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+	stopTimeout  = 10 * time.Second
+)
+
+const (
+	hostName = "pond.example"
+	zoneName = "sk-central-a"
+)
+
+// bed is a small deployment on loopback addresses: the platform's store and duty service, servers and router processes.
+type bed struct {
+	record  *recorder
+	program string
+	folder  string
+	// network is the second octet of the loopback addresses of this run's routers.
+	network int
+	store   *platformtest.Store
+	duties  *platformtest.Duties
+	version int
+	servers []*server
+	routers []*router
+}
+
+// router is one router process.
+type router struct {
+	name, address, callers, ready string
+	logFile                       string
+	mu                            sync.Mutex
+	// process is nil before the first start; guarded by mu.
+	process *exec.Cmd
+	// done is closed when the process has ended; guarded by mu.
+	done chan struct{}
+}
+
+func newBed(record *recorder, program string) (*bed, error) {
+	folder, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		return nil, oops.Wrapf(err, "temporary folder")
+	}
+	const firstNetwork, networks = 100, 100
+	return &bed{
+		record: record, program: program, folder: folder, network: firstNetwork + rand.IntN(networks), //nolint:gosec // Only spreads addresses.
+		store: platformtest.NewStore(), duties: platformtest.NewDuties(),
+	}, nil
+}
+
+// close ends all that was started.
+func (b *bed) close() {
+	for _, each := range b.routers {
+		each.kill()
+	}
+	for _, each := range b.servers {
+		each.stand.Close()
+	}
+	b.store.Close()
+	b.duties.Close()
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(b.folder)
+	} else {
+		b.record.say("logs of the routers are kept in the temporary folder %s", filepath.Base(b.folder))
+	}
+}
+
+// configure writes a new version of the configuration, which acknowledges it, and returns the time of that.
+func (b *bed) configure(configuration map[string]any) time.Time {
+	b.version++
+	configuration["Version"] = b.version
+	configuration["Limits"] = map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+	b.store.Put("op", "config", configuration)
+	b.record.line("operator: version %d is acknowledged", b.version)
+	return time.Now()
+}
+
+// freePort returns a port that is free on an address.
+func freePort(ctx context.Context, address string) (int, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(address, "0"))
+	if err != nil {
+		return 0, oops.Wrapf(err, "find a free port")
+	}
+	defer func() { _ = listener.Close() }()
+	tcp, ok := listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return 0, oops.Errorf("find a free port: found address %v", listener.Addr())
+	}
+	return tcp.Port, nil
+}
+
+// startRouters starts so many routers and waits until they are ready.
+func (b *bed) startRouters(ctx context.Context, count int) error {
+	for index := range count {
+		started, err := b.newRouter(ctx, index)
+		if err != nil {
+			return err
+		}
+		b.routers = append(b.routers, started)
+		if err := started.start(b.program); err != nil {
+			return err
+		}
+		b.record.line("router %s: started", started.name)
+	}
+	for _, each := range b.routers {
+		if err := each.awaitReady(ctx); err != nil {
+			return err
+		}
+		b.record.line("router %s: ready", each.name)
+	}
+	return nil
+}
+
+func (b *bed) newRouter(ctx context.Context, index int) (*router, error) {
+	r := &router{name: "front-" + strconv.Itoa(index+1), address: fmt.Sprintf("127.%d.0.%d", b.network, index+1)}
+	ports := make([]int, 3)
+	for index := range ports {
+		var err error
+		if ports[index], err = freePort(ctx, r.address); err != nil {
+			return nil, err
+		}
+	}
+	r.callers, r.ready = net.JoinHostPort(r.address, strconv.Itoa(ports[0])), net.JoinHostPort(r.address, strconv.Itoa(ports[1]))
+	r.logFile = filepath.Join(b.folder, r.name+".log")
+	content := fmt.Sprintf(settingsTemplate, r.name, r.address, r.callers, r.ready, ports[2], ports[2]+1, memoryMB, b.store.Address(), b.duties.Address())
+	const ownerOnly = 0o600
+	if err := os.WriteFile(r.settingsFile(), []byte(content), ownerOnly); err != nil {
+		return nil, oops.Wrapf(err, "settings")
+	}
+	return r, nil
+}
+
+func (r *router) settingsFile() string { return r.logFile + ".conf" }
+
+// start starts the process by the command of the deploy file.
+func (r *router) start(program string) error {
+	const appendLog = os.O_CREATE | os.O_APPEND | os.O_WRONLY
+	const ownerOnly = 0o600
+	log, err := os.OpenFile(r.logFile, appendLog, ownerOnly)
+	if err != nil {
+		return oops.Wrapf(err, "log")
+	}
+	defer func() { _ = log.Close() }()
+	process := exec.CommandContext(context.Background(), program, "router", "--metrics-port", "9464")
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VANILLAPOND_NODE_FILE=" + r.settingsFile()}
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return oops.Wrapf(err, "start %s", r.name)
+	}
+	done := make(chan struct{})
+	r.mu.Lock()
+	r.process, r.done = process, done
+	r.mu.Unlock()
+	go func() {
+		_ = process.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// ended returns a channel that is closed when the process has ended.
+func (r *router) ended() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
+func (r *router) pid() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.process.Process.Pid
+}
+
+// kill ends the process and waits for its end.
+func (r *router) kill() {
+	r.mu.Lock()
+	process, done := r.process, r.done
+	r.mu.Unlock()
+	if process == nil {
+		return
+	}
+	_ = process.Process.Signal(syscall.SIGKILL)
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+	}
+}
+
+func (r *router) awaitReady(ctx context.Context) error {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		select {
+		case <-r.ended():
+			return oops.Errorf("router %s ended before it was ready", r.name)
+		default:
+		}
+		if r.isReady(ctx) {
+			return nil
+		}
+	}
+	return oops.Errorf("router %s is not ready after %v", r.name, readyTimeout)
+}
+
+func (r *router) isReady(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.ready+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// settingsTemplate is a settings file of the platform's format, with the bounds of vzorovna-sk.
+const settingsTemplate = `NodeName=%s
+Role=router
+MachineClass=front
+Serves=front
+Ip=%s
+Zone=sk-central-a
+Region=sk-central
+Zones.sk-central-a=sk-central
+Listen.Front=%s
+Listen.Ready=%s
+InternalPorts=%d,%d
+Bootstrap=true
+CountsTowardLoss=false
+Limits.CpuShare=1
+Limits.CpuCores=1
+Limits.MemoryMb=%d
+Limits.MaxFds=4100
+Limits.LinkMbps=1000.0
+Limits.DiskMb=0
+Discovery=platform
+EntryMode=vip
+HeartbeatMs=1200
+Contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,leader,platform
+FaultTolerance.Machines=2
+FaultTolerance.Zones=0
+FaultTolerance.Regions=0
+Bounds.SeedLagS=3
+Bounds.AddrReuseS=2
+Bounds.ContactMs=3000
+Bounds.AckMs=4000
+Bounds.CatchUpS=4
+Bounds.DrainMs=2000
+Bounds.GraceS=8
+Bounds.LossSlackMs=200
+Bounds.ConfigApplyMs=2000
+Bounds.RollbackSlackMs=250
+Bounds.MaxStretchMs=5000
+Bounds.StrictRevoke=true
+Bounds.RevokeMs=5000
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetWindowS=10
+Bounds.BudgetExtra=52
+Bounds.FencingRequired=false
+Bounds.LeaseMs=3000
+Bounds.ThawSlackMs=300
+Bounds.ReportWindowS=5
+Bounds.UsageTolerance=0.05
+Bounds.UsageLateS=10
+Bounds.RecoveryS=12
+Bounds.PassMs=120
+Bounds.RetryAfterS=7.5
+Platform.Address=%s
+Platform.form=table
+Platform.WritesPerS=400
+Platform.ReadsPerS=2000
+Platform.TxMs=5.0
+Platform.PartWritesS=200
+Platform.RowBytes=65536
+Platform.Across=false
+Platform.HistoryS=20
+Cloud.Address=%s
+Cloud.RatePerS=50.0
+Cloud.Duties=usage
+Cloud.DutyPerS=50.0
+`
