--- a/review/testbed-3/crash.go
+++ b/review/testbed-3/crash.go
@@ -49,8 +49,8 @@
 		poison       = "/lookup/poison"
 		backAfter    = 2 * time.Second
 		registration = 100 * time.Millisecond
-		pressing     = 60 * time.Second
-		interval     = time.Second
+		pressing     = 70 * time.Second
+		interval     = 1700 * time.Millisecond
 		deadline     = 1500 * time.Millisecond
 		crashLimit   = 3
 		allowed      = 3
