--- a/review/testbed-3/versions.go
+++ b/review/testbed-3/versions.go
@@ -19,33 +19,31 @@
 
 // Streams of the case with several software versions.
 const (
-	streamEvents  = 80
-	eventInterval = 100 * time.Millisecond
+	streamEvents  = 92
+	eventInterval = 120 * time.Millisecond
 )
 
 // softwareVersions replaces the software of the servers in place, one after the other and the idle ones first, while the store is away, and counts the streams that hold events
 // of both versions.
 func softwareVersions(ctx context.Context, b *bed, trouble bool) (verdict, error) {
 	const (
-		key        = "n2ctnfzs989anu6wsjnb"
-		streams    = 12
+		clients    = 12
 		allowed    = 2
 		deadline   = 15 * time.Second
 		calm       = time.Second
-		restarting = 800 * time.Millisecond
-		between    = 1200 * time.Millisecond
-		away       = 4500 * time.Millisecond
+		restarting = 2 * time.Second
+		between    = 2500 * time.Millisecond
+		away       = 8 * time.Second
 	)
 	b.configure(map[string]any{
 		"Routes": []any{map[string]any{
 			"Name": "r-draft", "Hostname": hostName, "PathPrefix": "/draft/", "RouteType": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 500,
-			"Priority": 1, "Service": "pond-llm", "MaxAttempts": 3, "AuthExempt": false, "Sticky": true, "Resumable": true, "GapTargetMs": 250,
+			"Priority": 1, "Service": "pond-llm", "MaxAttempts": 3, "AuthExempt": true, "Sticky": true, "Resumable": true, "GapTargetMs": 250,
 		}},
 		"Services": []any{map[string]any{
 			"Name": "pond-llm", "HealthPath": "/healthz", "MaxConnections": 360, "Protocol": "h1", "Tls": false,
 			"Engine": map[string]any{"Slots": 64, "KvTokens": 251543, "Stride": 3, "Models": []any{map[string]any{"Name": "m"}}},
 		}},
-		"Tenants": []any{map[string]any{"Name": "school", "ApiKeys": []string{key}, "Priority": 1}},
 	})
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
 		if err := b.addServer(id, "pond-llm", 64, answerStream); err != nil {
@@ -56,20 +54,21 @@
 		return verdict{}, err
 	}
 	time.Sleep(contactBound)
-	readers := make([]*streamReader, streams)
+	streams := &streamLog{}
 	var reading sync.WaitGroup
-	for index := range readers {
-		readers[index] = &streamReader{}
+	for index := range clients {
 		reading.Go(func() {
-			readers[index].read(ctx, b, b.routers[index%len(b.routers)], call{
-				method: http.MethodPost, path: "/draft/1", key: key, deadline: deadline, body: "{}",
-				header: map[string]string{"X-Model": "m", "X-Token-Counts": "400,240", "X-Prompt-Prefix": sprintf("5c1e07a2:300,%x:100", index+1)},
+			one := &streamReader{}
+			one.read(ctx, b, b.routers[index%len(b.routers)], call{
+				method: http.MethodPost, path: "/draft/1", deadline: deadline, body: "{}",
+				header: map[string]string{"X-Model": "m", "X-Token-Counts": "400,276", "X-Prompt-Prefix": sprintf("5c1e07a2:300,%x:100", index+1)},
 			})
+			streams.add(b, one)
 		})
 	}
 	if trouble {
 		time.Sleep(calm)
-		b.record.line("store: away")
+		b.record.line("store: away, all calls get 503")
 		b.store.InjectFaults(func(string, int) platformtest.Fault { return platformtest.Refuse })
 		back := time.AfterFunc(away, func() {
 			b.store.ClearFaults()
@@ -90,21 +89,31 @@
 		}
 	}
 	reading.Wait()
-	joined, complete := 0, 0
-	for index, each := range readers {
-		b.record.line("client: stream %d held %d events of software %s, end: %v", index+1, each.events, strings.Join(each.versions, " then "), each.end)
-		if len(each.versions) > 1 {
-			joined++
-		}
-		if each.events == streamEvents {
-			complete++
-		}
+	if !trouble && streams.whole < streams.count {
+		return verdict{}, errorf("%d of %d streams are whole without a disruption", streams.whole, streams.count)
+	}
+	text := sprintf("%d of %d streams hold events of two software versions, %d are allowed", streams.joined, streams.count, allowed)
+	return verdict{broken: streams.joined > allowed, text: text}, nil
+}
+
+// streamLog counts streams.
+type streamLog struct {
+	mu sync.Mutex
+	// count counts all streams, whole those with all events, and joined those with events of several software versions; guarded by mu.
+	count, whole, joined int
+}
+
+func (l *streamLog) add(b *bed, s *streamReader) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count++
+	if s.events == streamEvents {
+		l.whole++
 	}
-	if !trouble && complete < streams {
-		return verdict{}, errorf("%d of %d streams are complete without a disruption", complete, streams)
+	if len(s.versions) > 1 {
+		l.joined++
 	}
-	text := sprintf("%d of %d streams hold events of two software versions, %d are allowed", joined, streams, allowed)
-	return verdict{broken: joined > allowed, text: text}, nil
+	b.record.line("client: stream %s held %d events of software %s, end: %v", s.id, s.events, strings.Join(s.versions, " then "), s.end)
 }
 
 // idleFirst returns the servers, those that have run fewer requests first.
@@ -114,6 +123,7 @@
 
 // streamReader is what a client has of a stream.
 type streamReader struct {
+	id     string
 	events int
 	// versions are the software versions of the events, in order, each once in a row.
 	versions []string
@@ -125,6 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	request, err := newRequest(ctx, r, &c)
+	s.id = c.id
 	if err != nil {
 		s.end = err
 		return
