--- a/review/testbed-3/bed.go
+++ b/review/testbed-3/bed.go
@@ -26,6 +26,9 @@
 	graceBound   = 8 * time.Second
 )
 
+// routerCount is the number of routers.
+const routerCount = 2
+
 // memoryMB is the memory of a router's machine, in MiB, as on that sheet.
 const memoryMB = 134
 
@@ -53,15 +56,15 @@
 	version int
 	servers []*server
 	routers []*router
-	// omitRuns leaves the runs of the servers out of the record, because they are too many.
-	omitRuns bool
 }
 
 // router is one router process.
 type router struct {
 	name, address, callers, ready string
 	logFile                       string
-	mu                            sync.Mutex
+	// settings is the content of the settings file.
+	settings string
+	mu       sync.Mutex
 	// process is nil before the first start; guarded by mu.
 	process *exec.Cmd
 	// done is closed when the process has ended; guarded by mu.
@@ -124,9 +127,9 @@
 	return tcp.Port, nil
 }
 
-// startRouters starts so many routers and waits until they are ready.
-func (b *bed) startRouters(ctx context.Context, count int) error {
-	for index := range count {
+// startRouters starts the routers and waits until they are ready.
+func (b *bed) startRouters(ctx context.Context) error {
+	for index := range routerCount {
 		started, err := b.newRouter(ctx, index)
 		if err != nil {
 			return err
@@ -157,12 +160,16 @@
 	}
 	r.callers, r.ready = net.JoinHostPort(r.address, strconv.Itoa(ports[0])), net.JoinHostPort(r.address, strconv.Itoa(ports[1]))
 	r.logFile = filepath.Join(b.folder, r.name+".log")
-	content := fmt.Sprintf(settingsTemplate, r.name, r.address, r.callers, r.ready, ports[2], ports[2]+1, memoryMB, b.store.Address(), b.duties.Address())
+	r.settings = fmt.Sprintf(settingsTemplate, r.name, r.address, r.callers, r.ready, ports[2], ports[2]+1, memoryMB, b.store.Address(), b.duties.Address())
+	return r, r.writeSettings()
+}
+
+func (r *router) writeSettings() error {
 	const ownerOnly = 0o600
-	if err := os.WriteFile(r.settingsFile(), []byte(content), ownerOnly); err != nil {
-		return nil, oops.Wrapf(err, "settings")
+	if err := os.WriteFile(r.settingsFile(), []byte(r.settings), ownerOnly); err != nil {
+		return oops.Wrapf(err, "settings of %s", r.name)
 	}
-	return r, nil
+	return nil
 }
 
 func (r *router) settingsFile() string { return r.logFile + ".conf" }
@@ -200,12 +207,6 @@
 	return r.done
 }
 
-func (r *router) pid() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.process.Process.Pid
-}
-
 // kill ends the process and waits for its end.
 func (r *router) kill() {
 	r.mu.Lock()
--- a/review/testbed-3/crash.go
+++ b/review/testbed-3/crash.go
@@ -85,7 +85,7 @@
 			return verdict{}, err
 		}
 	}
-	if err := b.startRouters(ctx, 2); err != nil {
+	if err := b.startRouters(ctx); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contactBound)
--- a/review/testbed-3/server.go
+++ b/review/testbed-3/server.go
@@ -109,9 +109,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, began)
 	s.mu.Unlock()
-	if !s.bed.omitRuns {
-		s.bed.record.line("server %s: runs request %.40s, path %s, tenant %q, last event %q", s.id, began.request, began.path, began.tenant, began.lastEventID)
-	}
+	s.bed.record.line("server %s: runs request %.40s, path %s, tenant %q, last event %q", s.id, began.request, began.path, began.tenant, began.lastEventID)
 	w.Header().Set("X-Attempt-Id", began.request)
 	w.Header().Set("X-Response-Seal", "seal-"+s.id)
 	s.respond(s, w, request)
--- a/review/testbed-3/takeup.go
+++ b/review/testbed-3/takeup.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,7 +37,7 @@
 			return verdict{}, err
 		}
 	}
-	if err := b.startRouters(ctx, 2); err != nil {
+	if err := b.startRouters(ctx); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(contactBound)
@@ -152,9 +153,7 @@
 	const delay = 200 * time.Millisecond
 	r.mark()
 	b.record.line("router %s: SIGTERM", r.name)
-	r.mu.Lock()
-	_ = r.process.Process.Signal(syscall.SIGTERM)
-	r.mu.Unlock()
+	r.signal(syscall.SIGTERM)
 	select {
 	case <-r.ended():
 	case <-time.After(graceBound):
@@ -163,6 +162,9 @@
 	}
 	b.record.line("router %s: ended", r.name)
 	time.Sleep(delay)
+	if err := r.endBootstrap(); err != nil {
+		return err
+	}
 	if err := r.start(b.program); err != nil {
 		return err
 	}
@@ -174,6 +176,12 @@
 	return nil
 }
 
+// endBootstrap sets Bootstrap to false in the settings file: it is true only when the whole system starts for the first time.
+func (r *router) endBootstrap() error {
+	r.settings = strings.Replace(r.settings, "Bootstrap=true", "Bootstrap=false", 1)
+	return r.writeSettings()
+}
+
 // mark records that the router is disturbed now.
 func (r *router) mark() {
 	r.mu.Lock()
