Review: cases renumbered, two dropped that earlier cases show; the test bed uses the adapter's names

Case 12 (a crashing request) shows the fault of review/8, case 13 (versions while the store is down) that of review/7. The slow readers are case 12 now, the streams taken up case 13, the long ids case 14 again.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,4 +7,4 @@
 	echo "run.sh: target/vanillapond or target/review-3/testbed-3 is missing; run the build of deploy/system.toml and review/build-3.sh" >&2
 	exit 2
 fi
-exec target/review-3/testbed-3 -case software-versions -program target/vanillapond -record "$folder/record.txt"
+exec target/review-3/testbed-3 -case take-up -program target/vanillapond -record "$folder/record.txt"
--- a/review/testbed-3/bed.go
+++ b/review/testbed-3/bed.go
@@ -16,6 +16,8 @@
 
 	"github.com/samber/oops"
 
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
 	"vanillapond/platform/platformtest"
 )
 
@@ -53,9 +55,11 @@
 	network int
 	store   *platformtest.Store
 	duties  *platformtest.Duties
-	version int
+	version ident.Version
 	servers []*server
 	routers []*router
+	// omitRuns leaves the runs of the servers out of the record, because they are too many.
+	omitRuns bool
 }
 
 // router is one router process.
@@ -103,15 +107,50 @@
 }
 
 // configure writes a new version of the configuration, which acknowledges it, and returns the time of that.
-func (b *bed) configure(configuration map[string]any) time.Time {
+func (b *bed) configure(configuration platform.Configuration) time.Time {
 	b.version++
-	configuration["Version"] = b.version
-	configuration["Limits"] = map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
-	b.store.Put("op", "config", configuration)
+	configuration.Version = b.version
+	configuration.Limits = platform.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3000, IdleTimeout: 15_000}
+	b.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration)
 	b.record.line("operator: version %d is acknowledged", b.version)
 	return time.Now()
 }
 
+// newRoute returns a route to a service, for callers that wait at most so many milliseconds.
+func newRoute(kind platform.Kind, prefix string, service platform.Service, timeout platform.Milliseconds) platform.Route {
+	return platform.Route{
+		Name: "r" + prefix, Host: hostName, PathPrefix: prefix, Kind: kind, Timeout: timeout, Objective: 500, Tier: 1, Service: service.Name, MaxServers: 2,
+	}
+}
+
+// newStreamRoute returns a route of resumable streams.
+func newStreamRoute(prefix string, service platform.Service, timeout platform.Milliseconds) platform.Route {
+	route := newRoute(platform.Streaming, prefix, service, timeout)
+	route.CarriesPrompts, route.Resumable, route.MaxPause = true, true, 250
+	return route
+}
+
+// Services as on the sheet of vzorovna-sk.
+var (
+	plainService  = platform.Service{Name: "issuance-api", HealthPath: "/healthz", MaxConnections: 96}
+	engineService = platform.Service{
+		Name: "pond-llm", HealthPath: "/healthz", MaxConnections: 360,
+		Engine: &platform.Engine{BatchSize: 64, KVCacheTokens: 251_543, TokensPerEvent: 3},
+	}
+)
+
+// Numbers of requests that a server of each service runs at a time.
+const (
+	plainSlots  = 6
+	engineSlots = 64
+)
+
+// tenant returns the tenants of a configuration with one tenant.
+func tenant(keys ...string) []platform.Customer {
+	tier := ident.Tier(1)
+	return []platform.Customer{{Name: "school", Keys: append([]string{}, keys...), Tier: &tier}}
+}
+
 // freePort returns a port that is free on an address.
 func freePort(ctx context.Context, address string) (int, error) {
 	var config net.ListenConfig
@@ -184,7 +223,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	process := exec.CommandContext(context.Background(), program, "router", "--metrics-port", "9464")
-	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "VANILLAPOND_NODE_FILE=" + r.settingsFile()}
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + r.settingsFile()}
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
 		return oops.Wrapf(err, "start %s", r.name)
@@ -207,6 +246,12 @@
 	return r.done
 }
 
+func (r *router) pid() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.process.Process.Pid
+}
+
 // kill ends the process and waits for its end.
 func (r *router) kill() {
 	r.mu.Lock()
--- a/review/testbed-3/client.go
+++ b/review/testbed-3/client.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"vanillapond/pkg/ident"
+	"vanillapond/platform"
+	"vanillapond/platform/platformtest"
 )
 
 // call is one client attempt.
@@ -20,7 +23,9 @@
 	id       string
 	deadline time.Duration
 	header   map[string]string
-	body     string
+	// prompt is nil for a request of a plain service.
+	prompt *platform.Prompt
+	body   string
 }
 
 // reply is what the client of a call saw.
@@ -54,10 +59,14 @@
 		return nil, err
 	}
 	request.Host = hostName
-	request.Header.Set("X-Attempt-Id", c.id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	request.Header.Set(platform.HeaderRequestID, c.id)
+	request.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(c.deadline))
 	if c.key != "" {
-		request.Header.Set("Authorization", "Token "+c.key)
+		request.Header.Set("Authorization", platform.KeyScheme+c.key)
+	}
+	if c.prompt != nil {
+		request.Header.Set("X-Model", "m")
+		platformtest.SetPrompt(request.Header, *c.prompt)
 	}
 	for name, value := range c.header {
 		request.Header.Set(name, value)
@@ -65,6 +74,14 @@
 	return request, nil
 }
 
+// prompts counts the prompts of the run.
+var prompts atomic.Uint64
+
+// newPrompt returns a prompt of two parts, of which the first one is the same for all, with an answer of so many tokens.
+func newPrompt(output ident.Tokens) *platform.Prompt {
+	return &platform.Prompt{Tokens: 400, MaxOutput: output, Parts: []platform.PromptPart{{ID: 0x5c1e07a2, Tokens: 300}, {ID: prompts.Add(1), Tokens: 100}}}
+}
+
 // newClient returns a client that opens a new connection for each call.
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
--- a/review/testbed-3/keys.go
+++ b/review/testbed-3/keys.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"vanillapond/platform"
 )
 
 func init() { testCases["last-key"] = lastKeyWithdrawn }
@@ -12,31 +14,27 @@
 // lastKeyWithdrawn takes the last key of the only tenant away, and checks that nothing runs afterwards for callers without a key in force.
 func lastKeyWithdrawn(ctx context.Context, b *bed, trouble bool) (verdict, error) {
 	const (
-		tenantName = "school"
-		key        = "n2ctnfzs989anu6wsjnb"
-		neverHeld  = "zzzzzzzzzzzzzzzzzzzz"
-		pressing   = 6 * time.Second
-		interval   = 200 * time.Millisecond
-		deadline   = 1500 * time.Millisecond
+		key       = "n2ctnfzs989anu6wsjnb"
+		neverHeld = "zzzzzzzzzzzzzzzzzzzz"
+		pressing  = 6 * time.Second
+		interval  = 200 * time.Millisecond
+		deadline  = 1500 * time.Millisecond
 		// What the client of a request holds.
 		inForce   = "the tenant's key"
 		withdrawn = "the withdrawn key"
 		unknown   = "a key that no configuration held"
 		none      = "no key"
 	)
-	configuration := func(timeoutMS int, keys ...string) map[string]any {
-		return map[string]any{
-			"Routes": []any{map[string]any{
-				"Name": "r-issue", "Hostname": hostName, "PathPrefix": "/issue/", "RouteType": "non_idempotent", "TimeoutMs": timeoutMS,
-				"TargetLatencyMs": 150, "Priority": 2, "Service": "issuance-api", "MaxAttempts": 1, "AuthExempt": false, "Sticky": false, "Resumable": false,
-			}},
-			"Services": []any{map[string]any{"Name": "issuance-api", "HealthPath": "/healthz", "MaxConnections": 96, "Protocol": "h1", "Tls": false}},
-			"Tenants":  []any{map[string]any{"Name": tenantName, "ApiKeys": append([]string{}, keys...), "Priority": 1}},
+	configuration := func(timeout platform.Milliseconds, keys ...string) platform.Configuration {
+		return platform.Configuration{
+			Routes:    []platform.Route{newRoute(platform.NonIdempotent, "/issue/", plainService, timeout)},
+			Services:  []platform.Service{plainService},
+			Customers: tenant(keys...),
 		}
 	}
 	b.configure(configuration(1200, key))
 	for _, id := range []string{"i-1", "i-2"} {
-		if err := b.addServer(id, "issuance-api", 6, answerPlain); err != nil {
+		if err := b.addServer(id, "v1", plainService, plainSlots, answerPlain); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -102,6 +100,6 @@
 	const work = 30 * time.Millisecond
 	_, _ = io.Copy(io.Discard, request.Body)
 	time.Sleep(work)
-	w.Header().Set("X-Server-Load", "1,0,6")
+	w.Header().Set(platform.HeaderServerLoad, "1,0,6")
 	_, _ = io.WriteString(w, "done by "+s.id)
 }
--- a/review/testbed-3/slow.go
+++ b/review/testbed-3/slow.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"vanillapond/platform"
 )
 
 func init() { testCases["slow-reader"] = slowReaders }
@@ -32,16 +34,11 @@
 		afterSignal  = 200 * time.Millisecond
 		readingPause = 2 * time.Second
 	)
-	b.configure(map[string]any{
-		"Routes": []any{map[string]any{
-			"Name": "r-list", "Hostname": hostName, "PathPrefix": "/list/", "RouteType": "idempotent", "TimeoutMs": 15000,
-			"TargetLatencyMs": 150, "Priority": 2, "Service": "issuance-api", "MaxAttempts": 2, "AuthExempt": false, "Sticky": false, "Resumable": false,
-		}},
-		"Services": []any{map[string]any{"Name": "issuance-api", "HealthPath": "/healthz", "MaxConnections": 96, "Protocol": "h1", "Tls": false}},
-		"Tenants":  []any{map[string]any{"Name": "school", "ApiKeys": []string{key}, "Priority": 1}},
+	b.configure(platform.Configuration{
+		Routes: []platform.Route{newRoute(platform.Idempotent, "/list/", plainService, 15_000)}, Services: []platform.Service{plainService}, Customers: tenant(key),
 	})
 	for _, id := range []string{"i-1", "i-2"} {
-		if err := b.addServer(id, "issuance-api", 6, answerList); err != nil {
+		if err := b.addServer(id, "v1", plainService, plainSlots, answerList); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -105,7 +102,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
-	w.Header().Set("X-Server-Load", "1,0,6")
+	w.Header().Set(platform.HeaderServerLoad, "1,0,6")
 	w.Header().Set("Content-Length", strconv.Itoa(longAnswer))
 	_, _ = io.WriteString(w, strings.Repeat("x", longAnswer))
 }
@@ -142,8 +139,8 @@
 func (c *slowClient) get(path string, pause time.Duration) (got, whole int, err error) {
 	const deadline = 15 * time.Second
 	_ = c.conn.SetDeadline(time.Now().Add(deadline))
-	head := sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n\r\n",
-		path, hostName, newAttempt(), deadline.Milliseconds(), c.key)
+	head := sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\nAuthorization: %s%s\r\n\r\n", path, hostName,
+		platform.HeaderRequestID, newAttempt(), platform.HeaderDeadline, platform.FormatDeadline(deadline), platform.KeyScheme, c.key)
 	if _, err := io.WriteString(c.conn, head); err != nil {
 		return 0, 0, err
 	}
--- a/review/testbed-3/takeup.go
+++ b/review/testbed-3/takeup.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"vanillapond/platform"
 )
 
 func init() { testCases["take-up"] = takeUp }
@@ -22,18 +24,11 @@
 		perSecond = 4
 		least     = 12
 	)
-	b.configure(map[string]any{
-		"Routes": []any{map[string]any{
-			"Name": "r-draft", "Hostname": hostName, "PathPrefix": "/draft/", "RouteType": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 500,
-			"Priority": 1, "Service": "pond-llm", "MaxAttempts": 2, "AuthExempt": true, "Sticky": true, "Resumable": true, "GapTargetMs": 250,
-		}},
-		"Services": []any{map[string]any{
-			"Name": "pond-llm", "HealthPath": "/healthz", "MaxConnections": 360, "Protocol": "h1", "Tls": false,
-			"Engine": map[string]any{"Slots": 64, "KvTokens": 251543, "Stride": 3, "Models": []any{map[string]any{"Name": "m"}}},
-		}},
-	})
+	route := newStreamRoute("/draft/", engineService, 15_000)
+	route.AuthExempt = true
+	b.configure(platform.Configuration{Routes: []platform.Route{route}, Services: []platform.Service{engineService}})
 	for index, version := range []string{"v1", "v1", "v2", "v2"} {
-		if err := b.addServerWith("i-"+strconv.Itoa(index+1), "pond-llm", version, 64, answerLongStream); err != nil {
+		if err := b.addServer("i-"+strconv.Itoa(index+1), version, engineService, engineSlots, answerLongStream); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -94,9 +89,9 @@
 	)
 	ends := time.Now().Add(deadline)
 	id := newAttempt()
-	prompt := map[string]string{"X-Model": "m", "X-Token-Counts": "400,360", "X-Prompt-Prefix": sprintf("5c1e07a2:300,%s:100", id[1:])}
+	prompt := newPrompt(360)
 	r := t.balancer.pick(client, nil)
-	first, isInTouch := t.attempt(ctx, r, call{method: http.MethodPost, path: "/draft/1", id: id, deadline: deadline, body: "{}", header: prompt})
+	first, isInTouch := t.attempt(ctx, r, call{method: http.MethodPost, path: "/draft/1", id: id, deadline: deadline, body: "{}", prompt: prompt})
 	if isInTouch {
 		t.count(&t.opened, &t.began, first.events > 0)
 	}
@@ -115,12 +110,9 @@
 		if remaining < returning || ctx.Err() != nil {
 			return
 		}
-		header := map[string]string{"Last-Event-Id": strconv.Itoa(first.events), "Resumes": id}
-		for name, value := range prompt {
-			header[name] = value
-		}
+		header := map[string]string{platform.HeaderLastEventID: strconv.Itoa(first.events), platform.HeaderResumes: id}
 		r = t.balancer.pick(client, r)
-		next, isInTouch := t.attempt(ctx, r, call{method: http.MethodPost, path: "/draft/1", deadline: remaining, body: "{}", header: header})
+		next, isInTouch := t.attempt(ctx, r, call{method: http.MethodPost, path: "/draft/1", deadline: remaining, body: "{}", header: header, prompt: prompt})
 		wasInTouch = wasInTouch || isInTouch
 		if goesOn = next.events > 0; goesOn {
 			return
@@ -134,7 +126,7 @@
 	isInTouch = r.inTouch(time.Now())
 	one = &streamReader{}
 	one.read(ctx, t.bed, r, c)
-	t.bed.record.line("client: stream %s through %s (in touch: %v), after event %q: %d events, end: %v", one.id, r.name, isInTouch, c.header["Last-Event-Id"], one.events, one.end)
+	t.bed.record.line("client: stream %s through %s (in touch: %v), after event %q: %d events, end: %v", one.id, r.name, isInTouch, c.header[platform.HeaderLastEventID], one.events, one.end)
 	return one, isInTouch
 }
 
