--- a/review/testbed-3/bed.go
+++ b/review/testbed-3/bed.go
@@ -225,6 +225,8 @@
 	process := exec.CommandContext(context.Background(), program, "router", "--metrics-port", "9464")
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + r.settingsFile()}
 	process.Stdout, process.Stderr = log, log
+	// The router ends with this process, also where that is killed.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
 		return oops.Wrapf(err, "start %s", r.name)
 	}
--- a/review/testbed-3/main.go
+++ b/review/testbed-3/main.go
@@ -65,18 +65,27 @@
 		return exitFailed
 	}
 	defer bed.close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, maxTime)
 	defer cancel()
-	found, err := selected(ctx, bed, os.Getenv("TROUBLE") != "0")
+	var found verdict
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		found, err = selected(ctx, bed, os.Getenv("TROUBLE") != "0")
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		// The case itself may still wait for something. The routers are ended, and the case with this process.
+		record.say("the case could not run: it was interrupted, or did not end in time")
+		return exitFailed
+	}
 	switch {
 	case err != nil:
 		record.say("the case could not run: %v", err)
 		return exitFailed
-	case ctx.Err() != nil:
-		record.say("the case could not run: it did not end in time")
-		return exitFailed
 	case found.broken:
 		record.say("BROKEN: %s", found.text)
 		return exitBroken
