--- a/review/testbed-3/memory.go
+++ b/review/testbed-3/memory.go
@@ -48,6 +48,9 @@
 	peak, alive := watchMemory(pressCtx, b, r, crowd)
 	stop()
 	working.Wait()
+	if peak == 0 || crowd.served.Load() == 0 {
+		return verdict{}, errorf("the memory of the router could not be read, or no stream was served: %d KiB, %d streams", peak, crowd.served.Load())
+	}
 	text := sprintf("the router took %d KiB at its peak, its machine has %d KiB; it runs: %v; %d streams were served and %d not",
 		peak, memoryMB<<10, alive, crowd.served.Load(), crowd.failed.Load())
 	return verdict{broken: !alive || peak > memoryMB<<10, text: text}, nil
