--- a/review/testbed-3/bed.go
+++ b/review/testbed-3/bed.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -151,19 +152,36 @@
 	return []platform.Customer{{Name: "school", Keys: append([]string{}, keys...), Tier: &tier}}
 }
 
-// freePort returns a port that is free on an address.
-func freePort(ctx context.Context, address string) (int, error) {
+// freePorts returns ports that are free on an address, each a different one.
+func freePorts(ctx context.Context, address string, count int) ([]int, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(address, "0"))
-	if err != nil {
-		return 0, oops.Wrapf(err, "find a free port")
-	}
-	defer func() { _ = listener.Close() }()
-	tcp, ok := listener.Addr().(*net.TCPAddr)
-	if !ok {
-		return 0, oops.Errorf("find a free port: found address %v", listener.Addr())
+	ports := make([]int, 0, count)
+	for range count {
+		listener, err := config.Listen(ctx, "tcp", net.JoinHostPort(address, "0"))
+		if err != nil {
+			return nil, oops.Wrapf(err, "find a free port")
+		}
+		// Each port stays in use until all are chosen.
+		defer func() { _ = listener.Close() }()
+		tcp, ok := listener.Addr().(*net.TCPAddr)
+		if !ok {
+			return nil, oops.Errorf("find a free port: found address %v", listener.Addr())
+		}
+		ports = append(ports, tcp.Port)
 	}
-	return tcp.Port, nil
+	return ports, nil
+}
+
+// starts receives what starts processes. A router ends with the thread that started it, so that one thread, which lasts, starts all.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
 }
 
 // startRouters starts the routers and waits until they are ready.
@@ -190,12 +208,10 @@
 
 func (b *bed) newRouter(ctx context.Context, index int) (*router, error) {
 	r := &router{name: "front-" + strconv.Itoa(index+1), address: fmt.Sprintf("127.%d.0.%d", b.network, index+1)}
-	ports := make([]int, 3)
-	for index := range ports {
-		var err error
-		if ports[index], err = freePort(ctx, r.address); err != nil {
-			return nil, err
-		}
+	const portCount = 3
+	ports, err := freePorts(ctx, r.address, portCount)
+	if err != nil {
+		return nil, err
 	}
 	r.callers, r.ready = net.JoinHostPort(r.address, strconv.Itoa(ports[0])), net.JoinHostPort(r.address, strconv.Itoa(ports[1]))
 	r.logFile = filepath.Join(b.folder, r.name+".log")
@@ -227,7 +243,9 @@
 	process.Stdout, process.Stderr = log, log
 	// The router ends with this process, also where that is killed.
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := process.Start(); err != nil {
+	started := make(chan error, 1)
+	starts <- func() { started <- process.Start() }
+	if err := <-started; err != nil {
 		return oops.Wrapf(err, "start %s", r.name)
 	}
 	done := make(chan struct{})
@@ -273,7 +291,9 @@
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		select {
 		case <-r.ended():
-			return oops.Errorf("router %s ended before it was ready", r.name)
+			content, _ := os.ReadFile(r.logFile)
+			const shown = 400
+			return oops.Errorf("router %s ended before it was ready; the end of its log: %s", r.name, content[max(0, len(content)-shown):])
 		default:
 		}
 		if r.isReady(ctx) {
--- a/review/testbed-3/slow.go
+++ b/review/testbed-3/slow.go
@@ -26,11 +26,11 @@
 	slowPiece  = 64 << 10
 )
 
-// slowReaders has clients on kept connections read their answers in pieces with pauses, after a SIGHUP of the routers, and counts the answers that are cut.
+// slowReaders has clients on kept connections read their answers in pieces with pauses, after a SIGHUP of one of the routers, and counts the answers that are cut.
 func slowReaders(ctx context.Context, b *bed, trouble bool) (verdict, error) {
 	const (
 		key          = "n2ctnfzs989anu6wsjnb"
-		perRouter    = 3
+		perRouter    = 6
 		afterSignal  = 200 * time.Millisecond
 		readingPause = 2 * time.Second
 	)
@@ -47,8 +47,10 @@
 	}
 	time.Sleep(contactBound)
 	var clients []*slowClient
+	// The rule counts the requests at the router that gets the signal.
+	signalled := b.routers[:1]
 	for range perRouter {
-		for _, r := range b.routers {
+		for _, r := range signalled {
 			client, err := dialSlowly(ctx, r, key)
 			if err != nil {
 				return verdict{}, err
@@ -60,7 +62,7 @@
 			clients = append(clients, client)
 		}
 	}
-	for _, r := range b.routers {
+	for _, r := range signalled {
 		b.record.line("router %s: SIGHUP, its settings file is as before", r.name)
 		r.signal(syscall.SIGHUP)
 	}
