Keys: requests need one also after the last is withdrawn

Cause: routes.Table.NeedsKey took an empty index of keys for a configuration without customers.

A customer with an empty key was the holder of all requests without one; empty keys are not valid.

Why it works: whether keys are needed no longer depends on how many there are.

--- a/internal/version/routes/model_test.go
+++ b/internal/version/routes/model_test.go
@@ -47,6 +47,8 @@
 	revision  table.Revision
 	withdrawn clock.Reading
 	longPolls []longPoll
+	// remaining is what the version without the key holds.
+	remaining platform.Customers
 	// confirmAtReceipt makes the model confirm the version as of the receipt of a response instead of its creation,
 	// which is a fault.
 	confirmAtReceipt bool
@@ -84,8 +86,11 @@
 
 // receive applies a response as the router does.
 func (m *withdrawalModel) receive(response longPoll) {
-	keys := map[int][]string{1: {"key"}, 2: nil}[response.version]
-	configuration := platform.Configuration{Version: ident.Version(response.version), Customers: []platform.Customer{{Name: "c", Keys: keys}}}
+	customers := m.remaining
+	if response.version == 1 {
+		customers = platform.Customers{{Name: "c", Keys: []string{"key"}}}
+	}
+	configuration := platform.Configuration{Version: ident.Version(response.version), Customers: customers}
 	if !m.current.Advance(configuration) && configuration.Version < m.current.Version() {
 		return
 	}
@@ -96,9 +101,12 @@
 	m.current.Confirm(asOf, response.revision)
 }
 
-// check returns an error if the key is accepted later than the revocation bound after its withdrawal.
+// check returns an error if the key is accepted later than the revocation bound after its withdrawal, or requests without a key are at any time.
 func (m *withdrawalModel) check() error {
 	current := m.current.Table()
+	if current != nil && !current.NeedsKey(&platform.Route{}) {
+		return fmt.Errorf("version %d needs no key", current.Version())
+	}
 	if current == nil || current.Customer("key") == nil || m.current.Age(m.now) > modelMaxAge {
 		return nil
 	}
@@ -125,10 +133,12 @@
 	return nil
 }
 
-func exploreWithdrawal(t *testing.T, confirmAtReceipt bool) error {
+func exploreWithdrawal(t *testing.T, remaining platform.Customers, confirmAtReceipt bool) error {
 	t.Helper()
 	result, err := interleave.Explore(func(chooser *interleave.Chooser) error {
-		m := &withdrawalModel{chooser: chooser, current: &routes.Current{}, version: 1, revision: 1, confirmAtReceipt: confirmAtReceipt}
+		m := &withdrawalModel{
+			chooser: chooser, current: &routes.Current{}, version: 1, revision: 1, remaining: remaining, confirmAtReceipt: confirmAtReceipt,
+		}
 		return m.run()
 	})
 	t.Logf("%d states, %d runs", result.States, result.Runs)
@@ -136,17 +146,25 @@
 }
 
 // TestModelWithdrawal explores every order of long polls, lost and late responses, and changes. It checks that a
-// withdrawn key is refused within the revocation bound, also by an instance that receives no more responses.
+// withdrawn key is refused within the revocation bound, also by an instance that receives no more responses, and that no request runs without a key,
+// whatever is left.
 func TestModelWithdrawal(t *testing.T) {
 	t.Parallel()
-	is.New(t).NoErr(exploreWithdrawal(t, false))
+	for name, remaining := range map[string]platform.Customers{
+		"another key": {{Name: "c", Keys: []string{"other"}}}, "no key": {{Name: "c"}}, "no customer": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is.New(t).NoErr(exploreWithdrawal(t, remaining, false))
+		})
+	}
 }
 
 // TestModelWithdrawalDetectsFault checks that the model finds a late acceptance if versions are confirmed as of the
 // receipt of a response.
 func TestModelWithdrawalDetectsFault(t *testing.T) {
 	t.Parallel()
-	err := exploreWithdrawal(t, true)
+	err := exploreWithdrawal(t, platform.Customers{{Name: "c"}}, true)
 	t.Log(err)
 	is.New(t).True(err != nil)
 }
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -18,8 +18,10 @@
 	limits  platform.Limits
 	// hosts holds the routes by lower-case host, those with the longest path prefix first.
 	hosts map[string][]*platform.Route
-	// customers holds the customers by key; it is empty if no request needs a key.
+	// customers holds the customers by valid key. It says nothing of whether requests need one: the last key may have been withdrawn.
 	customers map[string]*platform.Customer
+	// needsKeys is set if requests need a key, but those of routes that are exempt.
+	needsKeys bool
 	// withdrawn holds keys that earlier versions had and this one has not, at most maxWithdrawals.
 	withdrawn  map[KeyDigest]Withdrawal
 	services   map[ident.Pool]*platform.Service
@@ -32,7 +34,7 @@
 // New returns the table of a configuration version.
 func New(configuration platform.Configuration) *Table {
 	t := &Table{
-		version: configuration.Version, limits: configuration.Limits,
+		version: configuration.Version, limits: configuration.Limits, needsKeys: configuration.Customers != nil,
 		hosts:     make(map[string][]*platform.Route),
 		customers: make(map[string]*platform.Customer),
 		services:  make(map[ident.Pool]*platform.Service, len(configuration.Services)),
@@ -52,7 +54,10 @@
 	for index := range configuration.Customers {
 		customer := &configuration.Customers[index]
 		for _, key := range customer.Keys {
-			t.customers[key] = customer
+			// A request without a key has the empty one.
+			if key != "" {
+				t.customers[key] = customer
+			}
 		}
 	}
 	t.priorities = newPriorities(configuration)
@@ -95,7 +100,7 @@
 
 // NeedsKey reports whether requests of the route must carry a key.
 func (t *Table) NeedsKey(route *platform.Route) bool {
-	return len(t.customers) > 0 && !route.AuthExempt
+	return t.needsKeys && !route.AuthExempt
 }
 
 // Customer returns the customer that a key belongs to, or nil.
