Routes: a split without weight sends requests nowhere

What callers saw: nothing yet; found while listing where something empty opens. A route with a Service and a TrafficSplit whose weights are all 0 sent every request to the Service, which the split leaves out.

Cause: Pick took a sum of 0 for a route without a split. Evidence: TestPick fails before, with service d instead of none.

--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -106,14 +106,17 @@
 // Customer returns the customer that a key belongs to, or nil.
 func (t *Table) Customer(key string) *platform.Customer { return t.customers[key] }
 
-// Pick returns the service for one request of a route, at random by weight if the route is split.
+// Pick returns the service for one request of a route, at random by weight if the route is split; it is empty if no service has a weight.
 func Pick(route *platform.Route) ident.Pool {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
 	total := 0.0
 	for _, weighted := range route.Split {
 		total += max(weighted.Weight, 0)
 	}
 	if total == 0 {
-		return route.Service
+		return ""
 	}
 	drawn := rand.Float64() * total //nolint:gosec // Only distributes load.
 	for _, weighted := range route.Split {
--- a/internal/version/routes/routes_test.go
+++ b/internal/version/routes/routes_test.go
@@ -73,6 +73,8 @@
 	}
 	is.True(drawn["a"] > 1600 && drawn["b"] > 50 && drawn["c"] == 0)
 	is.Equal(routes.Pick(&platform.Route{Service: "d"}), ident.Pool("d"))
+	// A split from which all weight is taken does not send requests to a service that it does not name.
+	is.Equal(routes.Pick(&platform.Route{Service: "d", Split: []platform.WeightedService{{Service: "a"}, {Service: "b"}}}), ident.Pool(""))
 }
 
 // TestCurrent checks that the version never decreases, and that a state of the store confirms it only if it is not older
