Servers: one type for one start of a server, for all policies

Change: ident.ServerStart takes their place; what is sent is encoded as before. No behaviour changes.

--- a/internal/connection/servers/announcement.go
+++ b/internal/connection/servers/announcement.go
@@ -15,22 +15,10 @@
 // maxLeaving bounds the list that Leaving returns.
 const maxLeaving = 64
 
-// Incarnation identifies one start of a server.
-type Incarnation struct {
-	ID ident.Endpoint `cbor:"1,keyasint"`
-	// StartedUnixMS is when the server started, in Unix milliseconds.
-	StartedUnixMS int64 `cbor:"2,keyasint"`
-}
-
-// Incarnation returns the server's incarnation.
-func (s *Server) Incarnation() Incarnation {
-	return Incarnation{ID: s.ID, StartedUnixMS: s.StartedUnixMS}
-}
-
 // announcement is what an incarnation of a server has said about itself in its responses. It takes precedence over the
 // registration, which may be older.
 type announcement struct {
-	startedUnixMS int64
+	start ident.ServerStart
 	// leaving is never cleared: an incarnation that leaves does not come back.
 	leaving bool
 	// unconfirmed is set after a restore of the store if the server had gone before it, so that its registration may be an old one;
@@ -46,13 +34,13 @@
 
 // announcementOf returns the announcement of an incarnation and creates it if necessary. It returns nil if a later incarnation is
 // registered; the caller holds mu.
-func (r *Registry) announcementOf(of Incarnation) *announcement {
-	if current := r.servers[of.ID]; current != nil && current.StartedUnixMS != of.StartedUnixMS {
+func (r *Registry) announcementOf(of ident.ServerStart) *announcement {
+	if current := r.servers[of.ID]; current != nil && current.Start() != of {
 		return nil
 	}
 	known := r.announcements[of.ID]
-	if known == nil || known.startedUnixMS != of.StartedUnixMS {
-		known = &announcement{startedUnixMS: of.StartedUnixMS}
+	if known == nil || known.start != of {
+		known = &announcement{start: of}
 		if r.servers[of.ID] == nil {
 			known.absentSince = r.config.Now()
 		}
@@ -67,7 +55,7 @@
 	known := r.announcements[registration.ID]
 	switch {
 	case known == nil:
-	case known.startedUnixMS != registration.StartedUnixMS:
+	case known.start != registration.Start():
 		r.forgetAnnouncement(registration.ID)
 	default:
 		known.absentSince = 0
@@ -80,7 +68,7 @@
 
 // MarkLeaving records that a server has announced that it is leaving. That incarnation gets no new requests any more, whatever its
 // registration says.
-func (r *Registry) MarkLeaving(of Incarnation) {
+func (r *Registry) MarkLeaving(of ident.ServerStart) {
 	r.mu.Lock()
 	known := r.announcementOf(of)
 	if known == nil || known.leaving {
@@ -100,20 +88,20 @@
 }
 
 // Leaving returns the registered incarnations that have announced that they are leaving, at most maxLeaving.
-func (r *Registry) Leaving() []Incarnation {
+func (r *Registry) Leaving() []ident.ServerStart {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var leaving []Incarnation
+	var leaving []ident.ServerStart
 	for id, known := range r.announcements {
 		if known.leaving && r.servers[id] != nil && len(leaving) < maxLeaving {
-			leaving = append(leaving, Incarnation{ID: id, StartedUnixMS: known.startedUnixMS})
+			leaving = append(leaving, known.start)
 		}
 	}
 	return leaving
 }
 
 // Pause records that a server wants no requests from this process for the given time.
-func (r *Registry) Pause(of Incarnation, pause time.Duration) {
+func (r *Registry) Pause(of ident.ServerStart, pause time.Duration) {
 	r.mu.Lock()
 	now := r.config.Now()
 	known := r.announcementOf(of)
--- a/internal/connection/servers/announcement_test.go
+++ b/internal/connection/servers/announcement_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"vanillapond/internal/connection/servers"
 	"vanillapond/pkg/ident"
 	"vanillapond/platform"
 )
@@ -20,10 +19,10 @@
 	ready := []platform.Server{registration("a", platform.ServerReady, 1)}
 	h.Update(ready, nil, true)
 	list, _ := h.Ready("s")
-	h.MarkLeaving(list[0].Incarnation())
+	h.MarkLeaving(list[0].Start())
 	is.True(!h.Accepts(list[0]))
 	is.Equal(h.ready(), 0)
-	is.Equal(h.Leaving(), []servers.Incarnation{{ID: "a", StartedUnixMS: 1}})
+	is.Equal(h.Leaving(), []ident.ServerStart{{ID: "a", StartedUnixMS: 1}})
 	h.Update(ready, nil, false)
 	is.Equal(h.ready(), 0)
 	h.Update(nil, []ident.Endpoint{"a"}, false)
@@ -35,7 +34,7 @@
 	is.Equal(h.ready(), 0)
 	h.Update([]platform.Server{registration("a", platform.ServerReady, 2)}, nil, false)
 	is.Equal(h.ready(), 1)
-	h.MarkLeaving(servers.Incarnation{ID: "a", StartedUnixMS: 1}) // A late message of a peer about the earlier incarnation.
+	h.MarkLeaving(ident.ServerStart{ID: "a", StartedUnixMS: 1}) // A late message of a peer about the earlier incarnation.
 	is.Equal(h.ready(), 1)
 }
 
@@ -44,7 +43,7 @@
 	t.Parallel()
 	is := is.New(t)
 	h := newHarness()
-	h.MarkLeaving(servers.Incarnation{ID: "a", StartedUnixMS: 1})
+	h.MarkLeaving(ident.ServerStart{ID: "a", StartedUnixMS: 1})
 	h.Update([]platform.Server{registration("a", platform.ServerReady, 1)}, nil, true)
 	is.Equal(h.ready(), 0)
 }
@@ -58,8 +57,8 @@
 	h.Update([]platform.Server{registration("a", platform.ServerReady, 1), registration("b", platform.ServerReady, 1)}, nil, true)
 	list, _ := h.Ready("s")
 	paused := list[0]
-	h.Pause(paused.Incarnation(), 2*time.Second)
-	h.Pause(paused.Incarnation(), time.Second)
+	h.Pause(paused.Start(), 2*time.Second)
+	h.Pause(paused.Start(), time.Second)
 	is.True(!h.Accepts(paused))
 	is.True(h.Accepts(list[1]))
 	is.Equal(h.UntilResumed("s"), 2*time.Second)
--- a/internal/connection/servers/limit.go
+++ b/internal/connection/servers/limit.go
@@ -11,7 +11,7 @@
 
 // LimitStatement is what a response of a server says about the rate of requests that it accepts from all router instances together.
 type LimitStatement struct {
-	Server Incarnation
+	Server ident.ServerStart
 	// Limited is false if the response names no limit. Rate is the limit otherwise.
 	Limited bool
 	Rate    sharedrate.Rate
--- a/internal/connection/servers/limit_report.go
+++ b/internal/connection/servers/limit_report.go
@@ -7,6 +7,8 @@
 	"github.com/samber/oops"
 
 	"vanillapond/internal/process/sharedrate"
+
+	"vanillapond/pkg/ident"
 )
 
 // Limits of what instances tell each other about servers' rate limits.
@@ -23,9 +25,9 @@
 
 // LimitReport tells another instance a LimitStatement that this one has received. It is repeated, and receiving it again changes nothing.
 type LimitReport struct {
-	Server  Incarnation     `cbor:"1,keyasint"`
-	Limited bool            `cbor:"2,keyasint,omitempty"`
-	Rate    sharedrate.Rate `cbor:"3,keyasint,omitempty"`
+	Server  ident.ServerStart `cbor:"1,keyasint"`
+	Limited bool              `cbor:"2,keyasint,omitempty"`
+	Rate    sharedrate.Rate   `cbor:"3,keyasint,omitempty"`
 	// SentAgeMS and ReceivedAgeMS are how long ago the request was sent and its response received, in milliseconds.
 	SentAgeMS     int64 `cbor:"4,keyasint,omitempty"`
 	ReceivedAgeMS int64 `cbor:"5,keyasint,omitempty"`
--- a/internal/connection/servers/limit_test.go
+++ b/internal/connection/servers/limit_test.go
@@ -10,17 +10,19 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
 	"vanillapond/platform"
+
+	"vanillapond/pkg/ident"
 )
 
 // limitHarness is a registry with one server.
 type limitHarness struct {
 	*servers.Registry
 	now clock.Reading
-	of  servers.Incarnation
+	of  ident.ServerStart
 }
 
 func newLimitHarness() *limitHarness {
-	h := &limitHarness{now: clock.Reading(time.Hour), of: servers.Incarnation{ID: "i-1", StartedUnixMS: 1}}
+	h := &limitHarness{now: clock.Reading(time.Hour), of: ident.ServerStart{ID: "i-1", StartedUnixMS: 1}}
 	h.Registry = servers.New(servers.Config{
 		NewPool:    func(server platform.Server) *direct.Pool { return direct.New(direct.Config{Address: server.Address}) },
 		Now:        func() clock.Reading { return h.now },
--- a/internal/connection/servers/refused.go
+++ b/internal/connection/servers/refused.go
@@ -10,19 +10,19 @@
 
 // refusal is when an incarnation of a server last refused a connection.
 type refusal struct {
-	startedUnixMS int64
-	at            clock.Reading
+	start ident.ServerStart
+	at    clock.Reading
 }
 
 // MarkRefused records that a server refused a connection. Its process had ended, and the next one may have another software version under the same id
 // before its registration is read.
-func (r *Registry) MarkRefused(of Incarnation) {
+func (r *Registry) MarkRefused(of ident.ServerStart) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if current := r.servers[of.ID]; current == nil || current.StartedUnixMS != of.StartedUnixMS {
+	if current := r.servers[of.ID]; current == nil || current.Start() != of {
 		return
 	}
-	r.refused[of.ID] = refusal{startedUnixMS: of.StartedUnixMS, at: r.config.Now()}
+	r.refused[of.ID] = refusal{start: of, at: r.config.Now()}
 }
 
 // WithUncertainSoftware returns the servers whose software version is not certain: they have refused a connection, and the list of registrations is not
@@ -37,7 +37,7 @@
 	var uncertain []ident.Endpoint
 	for id, refused := range r.refused {
 		current := r.servers[id]
-		if current != nil && current.StartedUnixMS == refused.startedUnixMS && asOf < refused.at.Add(r.config.RegistrationTimeout) {
+		if current != nil && current.Start() == refused.start && asOf < refused.at.Add(r.config.RegistrationTimeout) {
 			uncertain = append(uncertain, id)
 		}
 	}
@@ -50,7 +50,7 @@
 	asOf := r.config.ListAsOf()
 	for id, refused := range r.refused {
 		current := r.servers[id]
-		if current == nil || current.StartedUnixMS != refused.startedUnixMS || asOf >= refused.at.Add(r.config.RegistrationTimeout) {
+		if current == nil || current.Start() != refused.start || asOf >= refused.at.Add(r.config.RegistrationTimeout) {
 			delete(r.refused, id)
 		}
 	}
--- a/internal/connection/servers/refused_test.go
+++ b/internal/connection/servers/refused_test.go
@@ -29,8 +29,8 @@
 	registry.Update([]platform.Server{registered, other}, nil, true)
 	is.Equal(len(registry.WithUncertainSoftware()), 0)
 
-	incarnation := servers.Incarnation{ID: "i-1", StartedUnixMS: 1}
-	registry.MarkRefused(servers.Incarnation{ID: "i-1", StartedUnixMS: 0})
+	incarnation := ident.ServerStart{ID: "i-1", StartedUnixMS: 1}
+	registry.MarkRefused(ident.ServerStart{ID: "i-1", StartedUnixMS: 0})
 	is.Equal(len(registry.WithUncertainSoftware()), 0) // an earlier start
 	registry.MarkRefused(incarnation)
 	is.Equal(registry.WithUncertainSoftware(), []ident.Endpoint{"i-1"})
--- a/internal/connection/servers/restore.go
+++ b/internal/connection/servers/restore.go
@@ -20,7 +20,7 @@
 	r.sweepDeparted()
 	for _, server := range r.servers {
 		if server.State == platform.ServerDraining {
-			r.announcementOf(server.Incarnation()).leaving = true
+			r.announcementOf(server.Start()).leaving = true
 		}
 	}
 	for departed := range r.departed {
--- a/internal/connection/servers/servers.go
+++ b/internal/connection/servers/servers.go
@@ -68,7 +68,7 @@
 	// refused holds the last refusal of a connection by each server, until its registration is certain again; guarded by mu.
 	refused map[ident.Endpoint]refusal
 	// departed holds the incarnations that were removed, and when, for restoreMemory; guarded by mu.
-	departed map[Incarnation]clock.Reading
+	departed map[ident.ServerStart]clock.Reading
 	// ready holds the servers of each service that accept new requests; its lists are never modified. Guarded by mu.
 	ready map[ident.Pool][]*Server
 	// resumeAt is when the first paused server accepts requests again, so that ready must be rebuilt; 0 if none is paused.
@@ -109,7 +109,7 @@
 		refused: make(map[ident.Endpoint]refusal),
 		limited: make(map[ident.Endpoint]*rateLimit), warming: make(map[ident.Endpoint]*warmup),
 		config: config, servers: make(map[ident.Endpoint]*Server), announcements: make(map[ident.Endpoint]*announcement),
-		departed: make(map[Incarnation]clock.Reading),
+		departed: make(map[ident.ServerStart]clock.Reading),
 		ready:    make(map[ident.Pool][]*Server),
 	}
 }
@@ -301,7 +301,7 @@
 func (r *Registry) remove(events []Event, id ident.Endpoint) []Event {
 	old := r.servers[id]
 	old.Pool.Close()
-	r.departed[old.Incarnation()] = r.config.Now()
+	r.departed[old.Start()] = r.config.Now()
 	delete(r.servers, id)
 	return append(events, Event{Name: "gone", Server: old.Server})
 }
--- a/internal/connection/servers/warmup.go
+++ b/internal/connection/servers/warmup.go
@@ -36,7 +36,7 @@
 		delete(r.warming, id)
 		return
 	}
-	if known != nil && known.remaining == remaining && old != nil && old.Incarnation() == (&Server{Server: registration}).Incarnation() {
+	if known != nil && known.remaining == remaining && old != nil && old.Start() == (&Server{Server: registration}).Start() {
 		return
 	}
 	r.warming[id] = &warmup{remaining: remaining, until: r.config.Now().Add(remaining.Duration())}
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -93,7 +93,7 @@
 		balancer.Update(placement.Generation{Servers: 1}, func() []placement.Candidate {
 			candidates := make([]placement.Candidate, plan.Engines.Count)
 			for index := range candidates {
-				candidates[index] = placement.Candidate{ID: engineID(index), Slots: plan.Engines.Slots, KVCapacity: plan.Engines.Memory}
+				candidates[index] = placement.Candidate{ServerStart: ident.ServerStart{ID: engineID(index)}, Slots: plan.Engines.Slots, KVCapacity: plan.Engines.Memory}
 			}
 			return candidates
 		})
--- a/internal/process/quarantine/admit.go
+++ b/internal/process/quarantine/admit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"vanillapond/pkg/ident"
 )
 
 // Decision says whether a request may be sent to a server.
@@ -37,7 +39,7 @@
 		for range e.sentTrials() + 1 {
 			delay *= trialDelayFactor
 		}
-		e.nextTrial, e.trialAt, e.trialCrash, e.trialIsClean = now.Add(delay), now, Server{}, r.isClean(part, parts)
+		e.nextTrial, e.trialAt, e.trialCrash, e.trialIsClean = now.Add(delay), now, ident.ServerStart{}, r.isClean(part, parts)
 		e.verdict.Trials++
 		r.decide(now, e, e.verdict, "part_trial", false)
 		return Decision{Admitted: true, Trial: true, Part: part}
@@ -59,7 +61,7 @@
 		return false
 	}
 	wait := maxCleanTrialWait
-	if !e.trialAt.IsZero() && e.trialCrash != (Server{}) && !e.trialIsClean {
+	if !e.trialAt.IsZero() && e.trialCrash != (ident.ServerStart{}) && !e.trialIsClean {
 		wait = maxDecisiveTrialWait
 	}
 	return now.Sub(e.nextTrial) >= wait || r.isClean(e.verdict.Part, parts)
@@ -93,11 +95,11 @@
 	if e.trialAt.IsZero() {
 		return false
 	}
-	return e.trialCrash == Server{} || r.otherExplains(e, e.trialCrash)
+	return e.trialCrash == ident.ServerStart{} || r.otherExplains(e, e.trialCrash)
 }
 
 // otherExplains reports whether another quarantined part explains the crash of a server; the caller holds mu.
-func (r *Registry) otherExplains(e *entry, server Server) bool {
+func (r *Registry) otherExplains(e *entry, server ident.ServerStart) bool {
 	for _, other := range r.entries {
 		if _, found := other.crashes[server]; found && other != e && other.verdict.Quarantined {
 			return true
--- a/internal/process/quarantine/entry.go
+++ b/internal/process/quarantine/entry.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"vanillapond/pkg/ident"
 )
 
 // entry is what a registry knows of a part.
 type entry struct {
 	// crashes holds the servers that crashed under the part; those that no longer count are kept, since peers report them repeatedly.
-	crashes map[Server]crash
+	crashes map[ident.ServerStart]crash
 	verdict Verdict
 	// nextTrial is when the next trial may begin; only valid while the part is quarantined.
 	nextTrial time.Time
@@ -20,7 +22,7 @@
 	// trialIsClean means that its request had no other part under which servers crashed.
 	trialIsClean bool
 	// trialCrash is the first server that crashed under the part since then.
-	trialCrash Server
+	trialCrash ident.ServerStart
 	// unsentTrials is the number of trials that did not reach a server, and wastedTrials that of the others that showed nothing.
 	unsentTrials, wastedTrials int
 	// lastSeen is when the last crash was recorded, or when the last request with the quarantined part arrived at any instance.
--- a/internal/process/quarantine/model_test.go
+++ b/internal/process/quarantine/model_test.go
@@ -549,7 +549,7 @@
 	}
 	lost := server.running
 	server.up, server.running = false, nil
-	incarnation := Server{ID: ident.Endpoint("s" + strconv.Itoa(server.number)), StartedUnixMS: server.starts}
+	incarnation := ident.ServerStart{ID: ident.Endpoint("s" + strconv.Itoa(server.number)), StartedUnixMS: server.starts}
 	for _, request := range lost {
 		const maxRetryWait = 20 * time.Millisecond
 		noticed := m.upTo(30 * time.Millisecond)
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"vanillapond/pkg/ident"
 )
 
 // Limits of suspicions.
@@ -61,7 +63,7 @@
 	// entries holds at most maxEntries parts; guarded by mu.
 	entries map[Part]*entry
 	// explained holds the servers whose crash a quarantined part explains, and when they crashed; guarded by mu.
-	explained map[Server]time.Time
+	explained map[ident.ServerStart]time.Time
 	// completed remembers the parts of completed requests; guarded by mu.
 	completed recentParts
 	// unshared is what Report sends to the other instances; guarded by mu.
@@ -76,11 +78,11 @@
 	if config.OnEvent == nil {
 		config.OnEvent = func(Event) {}
 	}
-	return &Registry{config: config, entries: make(map[Part]*entry), explained: make(map[Server]time.Time)}
+	return &Registry{config: config, entries: make(map[Part]*entry), explained: make(map[ident.ServerStart]time.Time)}
 }
 
 // RecordCrash records that a server crashed while it had not completed a request with these parts, or had only just begun to answer it.
-func (r *Registry) RecordCrash(now time.Time, server Server, parts []Part) {
+func (r *Registry) RecordCrash(now time.Time, server ident.ServerStart, parts []Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unshared.addCrash(now, server, parts)
@@ -88,7 +90,7 @@
 }
 
 // addCrash counts a crash against the parts, and quarantines those that reach the limit; the caller holds mu.
-func (r *Registry) addCrash(now, at time.Time, server Server, parts []Part, fromPeer bool) {
+func (r *Registry) addCrash(now, at time.Time, server ident.ServerStart, parts []Part, fromPeer bool) {
 	isQuarantined := func(part Part) bool { return r.entries[part] != nil && r.entries[part].verdict.Quarantined }
 	if slices.ContainsFunc(parts, isQuarantined) {
 		r.explain(now, server)
@@ -101,7 +103,7 @@
 		}
 		e.crashes[server] = crash{at: at, counts: e.verdict.Quarantined || !explained && !at.Before(r.completed.last(part))}
 		e.lastSeen = now
-		if !e.trialAt.IsZero() && e.trialCrash == (Server{}) && !at.Before(e.trialAt) {
+		if !e.trialAt.IsZero() && e.trialCrash == (ident.ServerStart{}) && !at.Before(e.trialAt) {
 			e.trialCrash = server
 		}
 		if count := e.count(now); count >= suspectCrashes {
@@ -162,7 +164,7 @@
 }
 
 // explain attributes the crash of a server to the quarantined parts; the caller holds mu.
-func (r *Registry) explain(now time.Time, server Server) {
+func (r *Registry) explain(now time.Time, server ident.ServerStart) {
 	r.explained[server] = now
 	for _, e := range r.entries {
 		if known, found := e.crashes[server]; found && !e.verdict.Quarantined {
@@ -233,7 +235,7 @@
 	e := r.entries[part]
 	if e == nil {
 		r.evict(now)
-		e = &entry{crashes: make(map[Server]crash), verdict: Verdict{Part: part}, lastSeen: now}
+		e = &entry{crashes: make(map[ident.ServerStart]crash), verdict: Verdict{Part: part}, lastSeen: now}
 		r.entries[part] = e
 	}
 	return e
@@ -266,7 +268,7 @@
 // expire removes what no longer counts; the caller holds mu.
 func (r *Registry) expire(now time.Time) {
 	for part, e := range r.entries {
-		maps.DeleteFunc(e.crashes, func(_ Server, known crash) bool { return now.Sub(known.at) > crashTTL })
+		maps.DeleteFunc(e.crashes, func(_ ident.ServerStart, known crash) bool { return now.Sub(known.at) > crashTTL })
 		idle := now.Sub(e.lastSeen)
 		switch {
 		case e.verdict.Quarantined && idle > TTL:
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -22,8 +22,8 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func server(number int) quarantine.Server {
-	return quarantine.Server{ID: ident.Endpoint("s" + strconv.Itoa(number)), StartedUnixMS: int64(number)}
+func server(number int) ident.ServerStart {
+	return ident.ServerStart{ID: ident.Endpoint("s" + strconv.Itoa(number)), StartedUnixMS: int64(number)}
 }
 
 // crashUnder records the crash of one server after the other under the parts.
@@ -372,7 +372,7 @@
 		r := quarantine.New(quarantine.Config{})
 		p := quarantine.Part(part)
 		report := quarantine.Report{
-			Crashes:   []quarantine.CrashReport{{Server: quarantine.Server{ID: ident.Endpoint(id), StartedUnixMS: started}, Parts: []quarantine.Part{p, p}}},
+			Crashes:   []quarantine.CrashReport{{Server: ident.ServerStart{ID: ident.Endpoint(id), StartedUnixMS: started}, Parts: []quarantine.Part{p, p}}},
 			Completed: []quarantine.CompletedReport{{Part: p}},
 			Verdicts: []quarantine.VerdictReport{{
 				Verdict: quarantine.Verdict{Part: p, Sequence: sequence, Quarantined: quarantined, Trials: int(sequence)}, SeenMS: seen,
--- a/internal/process/quarantine/share.go
+++ b/internal/process/quarantine/share.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"vanillapond/pkg/ident"
 )
 
 // Limits of what instances tell each other.
@@ -20,8 +22,8 @@
 
 // CrashReport is the crash of a server, with the parts of the requests that an instance had not completed there.
 type CrashReport struct {
-	Server Server `cbor:"1,keyasint"`
-	Parts  []Part `cbor:"2,keyasint"`
+	Server ident.ServerStart `cbor:"1,keyasint"`
+	Parts  []Part            `cbor:"2,keyasint"`
 	// AgeMS is how long ago the crash was recorded, in milliseconds.
 	AgeMS int64 `cbor:"3,keyasint,omitempty"`
 }
@@ -98,7 +100,7 @@
 	value T
 }
 
-func (u *unshared) addCrash(now time.Time, server Server, parts []Part) {
+func (u *unshared) addCrash(now time.Time, server ident.ServerStart, parts []Part) {
 	u.crashes = append(u.crashes, timed[CrashReport]{now, CrashReport{Server: server, Parts: parts}})
 }
 
@@ -131,8 +133,8 @@
 // recently where there is no room for all. The caller holds mu.
 func (r *Registry) sharedCrashes(now time.Time) []CrashReport {
 	var reports []CrashReport
-	position := make(map[Server]int)
-	sent := make(map[Server]map[Part]bool)
+	position := make(map[ident.ServerStart]int)
+	sent := make(map[ident.ServerStart]map[Part]bool)
 	total := 0
 	for _, completed := range []bool{false, true} {
 		for index := len(r.unshared.crashes) - 1; index >= 0; index-- {
@@ -240,7 +242,7 @@
 		}
 	case verdict.Quarantined:
 		if verdict.Trials > before.Trials {
-			e.trialAt, e.trialCrash = now, Server{}
+			e.trialAt, e.trialCrash = now, ident.ServerStart{}
 		}
 		r.decide(now, e, verdict, "part_trial", true)
 	case before.Quarantined:
--- a/internal/process/quarantine/verdict.go
+++ b/internal/process/quarantine/verdict.go
@@ -9,12 +9,6 @@
 // Part is the id of a prompt part.
 type Part uint64
 
-// Server identifies one start of a server.
-type Server struct {
-	ID            ident.Endpoint `cbor:"1,keyasint"`
-	StartedUnixMS int64          `cbor:"2,keyasint"`
-}
-
 // Verdict says whether a part is quarantined.
 type Verdict struct {
 	Part Part `cbor:"1,keyasint" json:"part"`
@@ -52,7 +46,7 @@
 	Name string
 	Verdict
 	// Server is the server that crashed, for part_suspected.
-	Server Server
+	Server ident.ServerStart
 	// Crashes is the number of servers whose crashes count against the part.
 	Crashes int
 	// FromPeer means that another instance has found the change.
--- a/internal/request/forward/announce.go
+++ b/internal/request/forward/announce.go
@@ -16,7 +16,7 @@
 // applyAnnouncements applies what a server says about itself in a response: that it leaves, how many requests it takes, or that it wants none for a while.
 func (c *call) applyAnnouncements(response *direct.Response, server *servers.Server) {
 	config := c.forwarder.config
-	incarnation := server.Incarnation()
+	incarnation := server.Start()
 	if platform.Leaving(response.Header) {
 		config.Servers.MarkLeaving(incarnation)
 	}
@@ -73,7 +73,7 @@
 		config.OnInvalidLimit(server.ID, err)
 	case named || response.Header.Get(platform.HeaderNotExecuted) == "":
 		config.Servers.ObserveLimit(servers.LimitStatement{
-			Server: server.Incarnation(), Limited: named, Rate: sharedrate.Rate(rate), SentAt: c.sentAt, ReceivedAt: config.Now(),
+			Server: server.Start(), Limited: named, Rate: sharedrate.Rate(rate), SentAt: c.sentAt, ReceivedAt: config.Now(),
 		})
 	}
 }
--- a/internal/request/forward/late_limit_test.go
+++ b/internal/request/forward/late_limit_test.go
@@ -9,6 +9,8 @@
 
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/clock"
+
+	"vanillapond/pkg/ident"
 )
 
 // TestLimitNamedBeforeSending guards against refusing a request whose only server names a rate limit after it was picked and before the request is sent:
@@ -22,7 +24,7 @@
 		once.Do(func() {
 			now := clock.Boot()
 			h.servers.ObserveLimit(servers.LimitStatement{
-				Server: servers.Incarnation{ID: h.registered[0].ID}, Limited: true, Rate: 4, SentAt: now, ReceivedAt: now,
+				Server: ident.ServerStart{ID: h.registered[0].ID}, Limited: true, Rate: 4, SentAt: now, ReceivedAt: now,
 			})
 			for {
 				if _, ok := h.servers.TakeTurn(h.registered[0].ID); !ok {
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -7,6 +7,8 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/platform"
+
+	"vanillapond/pkg/ident"
 )
 
 const (
@@ -72,7 +74,7 @@
 	go func() {
 		defer close(recorded)
 		if config.HasCrashed(server, cause) {
-			incarnation := quarantine.Server{ID: server.ID, StartedUnixMS: server.StartedUnixMS}
+			incarnation := ident.ServerStart{ID: server.ID, StartedUnixMS: server.StartedUnixMS}
 			config.Quarantine.RecordCrash(time.Now(), incarnation, parts)
 		}
 	}()
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -210,8 +210,7 @@
 	}
 	for index, server := range ready {
 		candidates[index] = placement.Candidate{
-			ID: server.ID, Domain: server.Domain, SameDomain: server.Domain == c.forwarder.config.Domain, Slots: server.Slots, KVCapacity: kvCapacity,
-			StartedUnixMS: server.StartedUnixMS,
+			ServerStart: server.Start(), Domain: server.Domain, SameDomain: server.Domain == c.forwarder.config.Domain, Slots: server.Slots, KVCapacity: kvCapacity,
 		}
 	}
 	return candidates
@@ -304,7 +303,7 @@
 	}
 	if failure.Outcome == outcome.NotRun {
 		if errors.Is(failure.Cause, syscall.ECONNREFUSED) {
-			c.forwarder.config.Servers.MarkRefused(server.Incarnation())
+			c.forwarder.config.Servers.MarkRefused(server.Start())
 		}
 		if errors.Is(failure.Cause, direct.ErrNotConfirmed) {
 			// The server got nothing, so that the request may wait for its next turn there.
--- a/internal/request/forward/wait_test.go
+++ b/internal/request/forward/wait_test.go
@@ -87,7 +87,7 @@
 func (h *waitHarness) state(interval time.Duration) {
 	now := h.clockReading()
 	limited := servers.LimitStatement{
-		Server: servers.Incarnation{ID: h.registered[0].ID}, Limited: interval > 0, SentAt: now, ReceivedAt: now,
+		Server: ident.ServerStart{ID: h.registered[0].ID}, Limited: interval > 0, SentAt: now, ReceivedAt: now,
 	}
 	if interval > 0 {
 		limited.Rate = sharedrate.Rate(1 / interval.Seconds())
--- a/internal/request/placement/attempt.go
+++ b/internal/request/placement/attempt.go
@@ -23,11 +23,11 @@
 	unsharedTokens ident.Tokens
 	// ahead counts the tokens that the server was known to prefill before those of the request when it was sent.
 	ahead ident.Tokens
-	// serverStartedMS is when the server had started to which the request was sent, as in Candidate.
-	serverStartedMS int64
-	stream          servermodel.Stream
-	started         bool
-	ended           bool
+	// serverStart is the start of the server to which the request was sent.
+	serverStart ident.ServerStart
+	stream      servermodel.Stream
+	started     bool
+	ended       bool
 	// expectedOutput is the number of tokens that the response was expected to have.
 	expectedOutput ident.Tokens
 	// plain means that the request went to a plain service, and trial that it tries an ejected server.
@@ -46,8 +46,8 @@
 	attempt := &Attempt{
 		balancer: b, server: server, sentAt: now, expected: choice.TimeToFirstEvent, load: Load{Active: 1},
 		noBacklog: choice.Load.Prefill.Total() == 0, unsharedTokens: query.Prompt - sharedTokens(query.Parts),
-		serverStartedMS: server.StartedUnixMS,
-		plain:           !query.Engine, trial: choice.Trial, once: !query.MayRunTwice,
+		serverStart: server.ServerStart,
+		plain:       !query.Engine, trial: choice.Trial, once: !query.MayRunTwice,
 	}
 	b.startTrial(attempt)
 	if query.Engine {
--- a/internal/request/placement/figures.go
+++ b/internal/request/placement/figures.go
@@ -73,7 +73,7 @@
 // trackSpeed gives a server its state in the model, a new one if it has restarted; the caller holds mu.
 func (b *Balancer) trackSpeed(s *server) {
 	if b.usesModel() {
-		s.speed = b.model.Track(s.ID, s.StartedUnixMS)
+		s.speed = b.model.Track(s.ServerStart)
 	}
 }
 
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -22,7 +22,8 @@
 
 // Candidate is a server that accepts new requests.
 type Candidate struct {
-	ID     ident.Endpoint
+	// ServerStart is which start of the server this is. If it changes, the server has restarted, and its speed is estimated anew.
+	ident.ServerStart
 	Domain ident.FailureDomain
 	// SameDomain reports whether the server is in the router instance's own failure domain.
 	SameDomain bool
@@ -30,8 +31,6 @@
 	Slots int
 	// KVCapacity is the capacity of the engine's KV cache in tokens; 0 for a server that is not an inference engine.
 	KVCapacity ident.Tokens
-	// StartedUnixMS is when the server started, in Unix milliseconds. If it changes, the server has restarted, and its speed is estimated anew.
-	StartedUnixMS int64
 }
 
 // Part is a part of a prompt; PrefixHash is a hash of it and of all parts before it.
@@ -187,7 +186,7 @@
 	found := b.servers[id]
 	if found == nil {
 		found = &server{
-			Candidate: Candidate{ID: id}, hash: xxhash.Sum64String(string(id)), attempts: make(map[*Attempt]struct{}),
+			Candidate: Candidate{ServerStart: ident.ServerStart{ID: id}}, hash: xxhash.Sum64String(string(id)), attempts: make(map[*Attempt]struct{}),
 		}
 		b.servers[id] = found
 	}
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -20,7 +20,7 @@
 func engines(count int) []placement.Candidate {
 	list := make([]placement.Candidate, count)
 	for index := range list {
-		list[index] = placement.Candidate{ID: ident.Endpoint(fmt.Sprintf("e%d", index)), Slots: 64, KVCapacity: 250_000}
+		list[index] = placement.Candidate{ServerStart: ident.ServerStart{ID: ident.Endpoint(fmt.Sprintf("e%d", index))}, Slots: 64, KVCapacity: 250_000}
 	}
 	return list
 }
--- a/internal/request/placement/samples.go
+++ b/internal/request/placement/samples.go
@@ -9,7 +9,7 @@
 // observedSpeed returns the state in the server model of the server that runs the request, nil if there is none or the server has restarted since
 // the request was sent. The caller holds the balancer's lock.
 func (a *Attempt) observedSpeed() *servermodel.Server {
-	if !a.balancer.usesModel() || a.server.StartedUnixMS != a.serverStartedMS {
+	if !a.balancer.usesModel() || a.server.ServerStart != a.serverStart {
 		return nil
 	}
 	return a.server.speed
--- a/internal/request/placement/separation_test.go
+++ b/internal/request/placement/separation_test.go
@@ -18,7 +18,7 @@
 func newEngine(index int, speed float64) *server {
 	return &server{
 		Candidate: Candidate{
-			ID: ident.Endpoint(fmt.Sprint("i", index)), Domain: ident.FailureDomain(fmt.Sprint("d", index%3)), Slots: 128, KVCapacity: 455_733,
+			ServerStart: ident.ServerStart{ID: ident.Endpoint(fmt.Sprint("i", index))}, Domain: ident.FailureDomain(fmt.Sprint("d", index%3)), Slots: 128, KVCapacity: 455_733,
 		},
 		attempts:   make(map[*Attempt]struct{}),
 		figures:    figures{rate: 112 * speed, baseMs: 31 / speed, stepMs: 3.41 / speed, stepMsPerRequest: 0.097 / speed},
--- a/internal/request/servermodel/estimate.go
+++ b/internal/request/servermodel/estimate.go
@@ -46,7 +46,7 @@
 func (m *Model) reportsOf(now time.Time, s *Server) []*peerServer {
 	m.reports = m.reports[:0]
 	for _, each := range m.livePeers(now) {
-		if reported := each.servers[s.id]; reported != nil && reported.startedUnixMS == s.startedUnixMS {
+		if reported := each.servers[s.start.ID]; reported != nil && reported.startedUnixMS == s.start.StartedUnixMS {
 			m.reports = append(m.reports, reported)
 		}
 	}
--- a/internal/request/servermodel/model.go
+++ b/internal/request/servermodel/model.go
@@ -92,16 +92,16 @@
 
 // Track returns the state of a server, which it creates if necessary. If the time of its start has changed, the server has restarted, and what
 // was known of it is forgotten.
-func (m *Model) Track(id ident.Endpoint, startedUnixMS int64) *Server {
-	known := m.servers[id]
-	if known != nil && known.startedUnixMS == startedUnixMS {
+func (m *Model) Track(start ident.ServerStart) *Server {
+	known := m.servers[start.ID]
+	if known != nil && known.start == start {
 		return known
 	}
 	if known == nil {
 		known = &Server{model: m}
-		m.servers[id] = known
+		m.servers[start.ID] = known
 	}
-	*known = Server{model: m, id: id, startedUnixMS: startedUnixMS}
+	*known = Server{model: m, start: start}
 	known.refresh(m.latest)
 	return known
 }
--- a/internal/request/servermodel/model_test.go
+++ b/internal/request/servermodel/model_test.go
@@ -195,8 +195,8 @@
 	is.Equal(f.server(fleetSize, f.engines[5]).Figures(f.now()).Prefill.Weight, weight)
 	later := f.now().Add(4 * time.Second)
 	newcomer.Merge(later, "1", servermodel.New().Report(later))
-	newcomer.Track("e5", 0)
-	is.Equal(newcomer.Track("e5", 1).Figures(later).Prefill.Weight, 0.0) // The report has expired.
+	newcomer.Track(ident.ServerStart{ID: "e5"})
+	is.Equal(newcomer.Track(ident.ServerStart{ID: "e5", StartedUnixMS: 1}).Figures(later).Prefill.Weight, 0.0) // The report has expired.
 }
 
 // TestFalsePeer guards against a peer whose false report decides: among the instances of a fleet the figures stay within the tolerance.
@@ -235,7 +235,7 @@
 	is := is.New(t)
 	model := servermodel.New()
 	for server := range 300 {
-		tracked := model.Track(ident.Endpoint(fmt.Sprintf("i-%010d", server)), 1_784_000_000_000)
+		tracked := model.Track(ident.ServerStart{ID: ident.Endpoint(fmt.Sprintf("i-%010d", server)), StartedUnixMS: 1_784_000_000_000})
 		for sample := range 100 {
 			took := time.Duration(1+sample) * time.Millisecond
 			tracked.ObserveFirstEvent(start, servermodel.FirstEvent{Took: took, Tokens: ident.Tokens(sample * 300)})
@@ -270,7 +270,7 @@
 			}
 		})
 		model := servermodel.New()
-		tracked := model.Track("a", 0)
+		tracked := model.Track(ident.ServerStart{ID: "a"})
 		for index := range rapid.IntRange(1, 80).Draw(t, "reports") {
 			report := servermodel.Report{
 				Servers:     map[ident.Endpoint]servermodel.ServerReport{"a": server.Draw(t, "server")},
@@ -324,7 +324,7 @@
 	model := servermodel.New()
 	servers := make([]*servermodel.Server, 300)
 	for index := range servers {
-		servers[index] = model.Track(ident.Endpoint(fmt.Sprint(index)), 0)
+		servers[index] = model.Track(ident.ServerStart{ID: ident.Endpoint(fmt.Sprint(index))})
 		servers[index].ObserveLoad(start, servermodel.Load{WorkPercent: 250})
 	}
 	for b.Loop() {
--- a/internal/request/servermodel/server.go
+++ b/internal/request/servermodel/server.go
@@ -9,12 +9,11 @@
 
 // Server is what is known of one server.
 type Server struct {
-	model         *Model
-	id            ident.Endpoint
-	startedUnixMS int64
-	samples       [quantities]samples
-	estimates     [quantities]estimate
-	work          workFigure
+	model     *Model
+	start     ident.ServerStart
+	samples   [quantities]samples
+	estimates [quantities]estimate
+	work      workFigure
 	// refreshedAt is when the estimates were computed.
 	refreshedAt time.Time
 	// noticed are the causes of contradictions that were found since the server started, and pending those of them that were not reported.
--- a/internal/request/servermodel/share.go
+++ b/internal/request/servermodel/share.go
@@ -140,14 +140,14 @@
 		}
 	}
 	slices.SortFunc(recent, func(a, b *Server) int {
-		return cmp.Or(b.newestSample().Compare(a.newestSample()), cmp.Compare(a.id, b.id))
+		return cmp.Or(b.newestSample().Compare(a.newestSample()), cmp.Compare(a.start.ID, b.start.ID))
 	})
 	report := Report{
 		Servers:     make(map[ident.Endpoint]ServerReport, min(len(recent), maxReported)),
 		FirstEvents: m.curves[firstEvent].report(), Steps: m.curves[step].report(),
 	}
 	for _, server := range recent[:min(len(recent), maxReported)] {
-		report.Servers[server.id] = server.report(now)
+		report.Servers[server.start.ID] = server.report(now)
 	}
 	return report
 }
@@ -165,7 +165,7 @@
 }
 
 func (s *Server) report(now time.Time) ServerReport {
-	report := ServerReport{StartedUnixMS: s.startedUnixMS}
+	report := ServerReport{StartedUnixMS: s.start.StartedUnixMS}
 	for kind := range s.samples {
 		s.decay(now, quantity(kind))
 	}
@@ -251,7 +251,7 @@
 	m.refit(now)
 	for id, reported := range report.Servers {
 		server := m.servers[id]
-		if server == nil || server.startedUnixMS != reported.StartedUnixMS {
+		if server == nil || server.start.StartedUnixMS != reported.StartedUnixMS {
 			continue
 		}
 		if reported.WorkPercent > 0 {
--- a/internal/request/servermodel/simulation_test.go
+++ b/internal/request/servermodel/simulation_test.go
@@ -84,7 +84,7 @@
 func (f *fleet) now() time.Time { return start.Add(time.Duration(f.nowMS * float64(time.Millisecond))) }
 
 func (f *fleet) server(instance int, e *engine) *servermodel.Server {
-	return f.models[instance].Track(e.id, e.started)
+	return f.models[instance].Track(ident.ServerStart{ID: e.id, StartedUnixMS: e.started})
 }
 
 // run simulates until a time in milliseconds.
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -55,7 +55,7 @@
 	Usage        usage.Counts      `cbor:"5,keyasint,omitempty"`
 	UsageUntilMS int64             `cbor:"6,keyasint,omitempty"`
 	// Leaving are the servers that have announced in their responses that they are leaving.
-	Leaving []servers.Incarnation `cbor:"7,keyasint,omitempty"`
+	Leaving []ident.ServerStart `cbor:"7,keyasint,omitempty"`
 	// Version is the newest configuration version that the sender has.
 	Version ident.Version `cbor:"8,keyasint,omitempty"`
 	// Answer marks an answer to an instance that was behind; it is not answered in turn.
--- a/internal/role/router/measured_loads_test.go
+++ b/internal/role/router/measured_loads_test.go
@@ -60,7 +60,7 @@
 		balancer.Update(placement.Generation{Servers: 1}, func() []placement.Candidate {
 			var list []placement.Candidate
 			for index := range placement.MaxMeasurements {
-				list = append(list, placement.Candidate{ID: serverName(index), Slots: 8})
+				list = append(list, placement.Candidate{ServerStart: ident.ServerStart{ID: serverName(index)}, Slots: 8})
 			}
 			return list
 		})
--- a/internal/role/router/rate_limit_model_test.go
+++ b/internal/role/router/rate_limit_model_test.go
@@ -233,7 +233,7 @@
 	}
 	m.after(latency, func() {
 		m.arrivals = append(m.arrivals, rateModelArrival{m.now, i})
-		statement := servers.LimitStatement{Server: ready[0].Incarnation(), SentAt: sent}
+		statement := servers.LimitStatement{Server: ready[0].Start(), SentAt: sent}
 		if m.now >= rateModelNamed && m.now < rateModelEnded {
 			statement.Limited, statement.Rate = true, sharedrate.Rate(m.rate)
 		}
--- a/internal/role/router/server_health_test.go
+++ b/internal/role/router/server_health_test.go
@@ -27,7 +27,7 @@
 			balancer := r.balancers.get("plain")
 			balancer.Configure(placement.Settings{LoadAware: true, SharedHealth: true, Process: process})
 			balancer.Update(placement.Generation{Servers: 1}, func() []placement.Candidate {
-				return []placement.Candidate{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}}
+				return []placement.Candidate{newCandidate("a"), newCandidate("b"), newCandidate("c")}
 			})
 		}
 	}
@@ -52,3 +52,7 @@
 	}
 	is.Equal(states, map[ident.Endpoint]placement.HealthState{"a": placement.Suspect, "b": placement.Healthy, "c": placement.Healthy})
 }
+
+func newCandidate(id ident.Endpoint) placement.Candidate {
+	return placement.Candidate{ServerStart: ident.ServerStart{ID: id}, Slots: 6}
+}
--- a/internal/role/router/speeds_test.go
+++ b/internal/role/router/speeds_test.go
@@ -25,7 +25,9 @@
 	balancer.Configure(placement.Settings{LoadAware: true, TokensPerEvent: 5})
 	candidates := make([]placement.Candidate, servers)
 	for index := range candidates {
-		candidates[index] = placement.Candidate{ID: ident.Endpoint(fmt.Sprintf("i-%010x", index)), Slots: 64, StartedUnixMS: 1_784_000_000_000}
+		candidates[index] = placement.Candidate{
+			ServerStart: ident.ServerStart{ID: ident.Endpoint(fmt.Sprintf("i-%010x", index)), StartedUnixMS: 1_784_000_000_000}, Slots: 64,
+		}
 	}
 	balancer.Update(placement.Generation{Servers: 1}, func() []placement.Candidate { return candidates })
 	now := time.Now()
--- a/internal/role/router/waiting_test.go
+++ b/internal/role/router/waiting_test.go
@@ -14,6 +14,8 @@
 
 	"vanillapond/internal/connection/servers"
 	"vanillapond/platform"
+
+	"vanillapond/pkg/ident"
 )
 
 // TestDatagramReleasesWaitingRequest guards against a request that waits on although a peer has reported that the server takes it, and against waits that
@@ -34,7 +36,7 @@
 	defer func() { _ = peer.Close() }()
 	report := func(limited bool) {
 		datagram, err := cbor.Marshal(map[int]any{1: "front-z", 11: []servers.LimitReport{
-			{Server: servers.Incarnation{ID: "i-1", StartedUnixMS: 1}, Limited: limited, Rate: 0.2},
+			{Server: ident.ServerStart{ID: "i-1", StartedUnixMS: 1}, Limited: limited, Rate: 0.2},
 		}})
 		is.NoErr(err)
 		_, err = peer.Write(datagram)
