Requests that crash servers: crashes are counted by the life of a server, not by its id

Cause: losses were told apart by the server's id alone, in the list, in gossip and in the rows of suspects, so that two servers never made three.

Change: - A loss holds the start of the server by the list that was read, and when the connection was opened and broke, in the agreed time. Two losses at one server are of one crash if the connections overlap, give or take 0.5 s. The start alone would not do: one crash seen by two routers, one of which has not read the new start, is one; two crashes before it is read are two. - Losses that were cleared hide no later ones: each crash is cleared for itself. Clearances are told to the other instances, for with losses of one server counted apart a sound request is refused sooner where its completion was not seen. - A broken connection is a loss only if the server accepts no connections any more, as for prompt parts. - A request that waits is refused once it is found to crash servers. - Rows keep the field servers, datagrams their keys: the version before reads both, and what it writes is read as one loss for each server.

Why it works: a connection lies within the life of one start of its server, whatever list was read.

--- a/internal/connection/direct/direct.go
+++ b/internal/connection/direct/direct.go
@@ -25,7 +25,9 @@
 	ConnectionFailed bool
 	// Unreachable means that no connection could be established.
 	Unreachable bool
-	Cause       error
+	// OpenedAt is when the connection was opened on which the request was sent; zero if it was not sent.
+	OpenedAt time.Time
+	Cause    error
 }
 
 // Error implements error.
--- a/internal/connection/direct/exchange.go
+++ b/internal/connection/direct/exchange.go
@@ -38,7 +38,8 @@
 	net.Conn
 	reader *httpresponse.Reader
 	// limit bounds what reader reads from the connection.
-	limit *readLimit
+	limit    *readLimit
+	openedAt time.Time
 	// reused means that the connection carried a request before.
 	reused bool
 	// carried holds the ids of the latest requests, count in all: the response to one of them may arrive once more.
@@ -51,7 +52,7 @@
 
 func newConn(raw net.Conn) *conn {
 	limit := &readLimit{source: raw}
-	return &conn{Conn: raw, reader: httpresponse.NewReader(limit), limit: limit, idleTimeout: defaultIdleTimeout}
+	return &conn{Conn: raw, reader: httpresponse.NewReader(limit), limit: limit, openedAt: time.Now(), idleTimeout: defaultIdleTimeout}
 }
 
 // hasCarried reports whether one of the latest requests had this id.
@@ -85,6 +86,8 @@
 	Header http.Header
 	// Framed means that the response has a length or is chunked; otherwise its body ends with the connection.
 	Framed bool
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 	// ctx is the context of the request.
 	ctx context.Context //nolint:containedctx // The response has the lifetime of the request.
 	// endsWithConnection means that the body ends with the connection; a response that has no body is neither this nor Framed.
@@ -123,12 +126,12 @@
 		p.discard(c)
 		return nil, &Error{Outcome: outcome.NotRun, Cause: ErrNotConfirmed}
 	}
-	response := &Response{ctx: ctx, pool: p, conn: c, written: make(chan struct{})}
+	response := &Response{OpenedAt: c.openedAt, ctx: ctx, pool: p, conn: c, written: make(chan struct{})}
 	_ = c.SetDeadline(time.Time{})
 	response.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := response.exchange(request); err != nil {
 		response.Close()
-		return nil, &Error{Outcome: outcome.Unknown, ConnectionFailed: ctx.Err() == nil, Cause: err}
+		return nil, &Error{Outcome: outcome.Unknown, ConnectionFailed: ctx.Err() == nil, OpenedAt: response.OpenedAt, Cause: err}
 	}
 	return response, nil
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -41,8 +41,8 @@
 type Suspects interface {
 	// Blocked reports whether so many servers were lost while they ran the request that it must be refused.
 	Blocked(now time.Time, digest uint64) bool
-	// RecordLoss records that the connection to a server broke while the server ran the request.
-	RecordLoss(now time.Time, digest uint64, server ident.Endpoint)
+	// RecordLoss records that a server crashed while it ran the request.
+	RecordLoss(now time.Time, digest uint64, crash Crash)
 	// Clear removes the recorded losses of a request that got a complete response, which shows that it did not cause them.
 	Clear(digest uint64)
 }
@@ -236,8 +236,10 @@
 	kept *holdings.ResponseHolding
 	// breakCause is why the connection of the current attempt broke, nil if it did not.
 	breakCause error
-	// attemptAt is when the current attempt began.
-	attemptAt time.Time
+	// attemptAt is when the current attempt began, and openedAt when its connection was opened.
+	attemptAt, openedAt time.Time
+	// completed is set once the request got a complete response.
+	completed atomic.Bool
 	// sentAt is when the current attempt was about to be sent.
 	sentAt clock.Reading
 	// serverFailedAt is when a connection to the server of the current attempt last broke or was refused, at any instance; zero if that is not
@@ -362,7 +364,7 @@
 func (c *call) admitToService() *refusal {
 	c.budget().RecordRequest(c.forwarder.config.Now())
 	if c.forwarder.config.Suspects.Blocked(c.arrived, c.digest) {
-		return unavailable("request crashed servers before", suspectRetryAfter)
+		return unavailable(reasonBlocked, suspectRetryAfter)
 	}
 	return c.admitParts()
 }
--- a/internal/request/forward/parts.go
+++ b/internal/request/forward/parts.go
@@ -7,8 +7,6 @@
 	"vanillapond/internal/connection/servers"
 	"vanillapond/internal/process/quarantine"
 	"vanillapond/platform"
-
-	"vanillapond/pkg/ident"
 )
 
 const (
@@ -42,12 +40,17 @@
 	return unavailable(reasonQuarantined, decision.RetryAfter)
 }
 
-// recheckParts refuses a request of which a prompt part was quarantined after it was admitted.
-func (c *call) recheckParts() *refusal {
-	if c.trial || !c.forwarder.config.Quarantine.Quarantines(c.parts) {
+// recheckCrashes refuses a request which, since it was admitted, is known to crash servers, by a part of its prompt or by itself. One that was sent already goes
+// on to another server if it may: that it completes there is what clears it.
+func (c *call) recheckCrashes() *refusal {
+	switch {
+	case !c.trial && c.forwarder.config.Quarantine.Quarantines(c.parts):
+		return unavailable(reasonQuarantined, suspectRetryAfter)
+	case c.serversTried == 0 && c.forwarder.config.Suspects.Blocked(time.Now(), c.digest):
+		return unavailable(reasonBlocked, suspectRetryAfter)
+	default:
 		return nil
 	}
-	return unavailable(reasonQuarantined, suspectRetryAfter)
 }
 
 // endTrial has a trial that no server got repeated.
@@ -59,23 +62,31 @@
 
 // recordCompleted records that the request got a complete response: neither the request nor its prompt parts crash servers.
 func (c *call) recordCompleted() {
+	c.completed.Store(true)
 	c.forwarder.config.Suspects.Clear(c.digest)
 	c.forwarder.config.Quarantine.RecordRun(time.Now(), c.attemptAt, c.parts)
 }
 
-// recordCrash records the crash of a server against the prompt parts of the request, if the server has crashed and had not answered the
-// request for long. A check that takes longer goes on in the background.
-func (c *call) recordCrash(server *servers.Server, cause error) {
-	if len(c.parts) == 0 || !c.firstEventAt.IsZero() && time.Since(c.firstEventAt) > beginTime {
-		return
+// recordBreak records that a connection to a server broke while the server may have run the request. If the server has crashed, that counts against the
+// request, and against the parts of its prompt unless the server had answered it for long. A check that takes longer goes on in the background.
+func (c *call) recordBreak(server *servers.Server, openedAt time.Time, cause error) {
+	c.breakCause = cause
+	crash := Crash{Server: server.Start(), OpenedAt: openedAt, BrokenAt: time.Now()}
+	parts, digest, config := c.parts, c.digest, c.forwarder.config
+	if !c.firstEventAt.IsZero() && crash.BrokenAt.Sub(c.firstEventAt) > beginTime {
+		parts = nil
 	}
 	recorded := make(chan struct{})
-	parts, config := c.parts, c.forwarder.config
 	go func() {
 		defer close(recorded)
-		if config.HasCrashed(server, cause) {
-			incarnation := ident.ServerStart{ID: server.ID, StartedUnixMS: server.StartedUnixMS}
-			config.Quarantine.RecordCrash(time.Now(), incarnation, parts)
+		if !config.HasCrashed(server, cause) {
+			return
+		}
+		if !c.completed.Load() {
+			config.Suspects.RecordLoss(time.Now(), digest, crash)
+		}
+		if len(parts) > 0 {
+			config.Quarantine.RecordCrash(time.Now(), crash.Server, parts)
 		}
 	}()
 	wait := time.NewTimer(crashCheckWait)
--- a/internal/request/forward/refuse.go
+++ b/internal/request/forward/refuse.go
@@ -28,6 +28,9 @@
 // suspectRetryAfter is the Retry-After of a request that crashed servers: by then servers have restarted.
 const suspectRetryAfter = 5 * time.Second
 
+// reasonBlocked is the reason of requests that crashed servers themselves.
+const reasonBlocked = "request crashed servers before"
+
 // reasonQuarantined is the reason of requests with a prompt part that crashes servers.
 const reasonQuarantined = "a part of the prompt crashed servers before"
 
--- a/internal/request/forward/relay.go
+++ b/internal/request/forward/relay.go
@@ -48,7 +48,7 @@
 		if c.ctx.Err() != nil || c.kept.IsDismissed() {
 			return lost, placement.Neutral
 		}
-		c.recordLoss(server, err)
+		c.recordBreak(server, c.openedAt, err)
 		return lost, placement.Failed
 	}
 	if !success {
@@ -152,7 +152,7 @@
 			if c.ctx.Err() != nil || c.kept.IsDismissed() {
 				return placement.Neutral
 			}
-			c.recordLoss(server, err)
+			c.recordBreak(server, c.openedAt, err)
 			return placement.Failed
 		}
 	}
--- a/internal/request/forward/send.go
+++ b/internal/request/forward/send.go
@@ -91,7 +91,7 @@
 	if refused := c.checkGrace(); refused != nil {
 		return refused
 	}
-	if refused := c.recheckParts(); refused != nil {
+	if refused := c.recheckCrashes(); refused != nil {
 		return refused
 	}
 	service := c.service
@@ -259,7 +259,7 @@
 		return c.handleSendError(err, server)
 	}
 	defer response.Close()
-	c.reachedServer = true
+	c.reachedServer, c.openedAt = true, response.OpenedAt
 	if response.Status == http.StatusMisdirectedRequest {
 		return undelivered, placement.Unreachable
 	}
@@ -326,17 +326,10 @@
 	if errors.Is(failure.Cause, httpresponse.ErrTooLong) {
 		c.forwarder.config.OnTooLong(server.ID)
 	}
-	c.recordLoss(server, failure.Cause)
+	c.recordBreak(server, failure.OpenedAt, failure.Cause)
 	return lost, placement.Failed
 }
 
-// recordLoss records that the connection to a server broke while the server may have run the request.
-func (c *call) recordLoss(server *servers.Server, cause error) {
-	c.breakCause = cause
-	c.forwarder.config.Suspects.RecordLoss(time.Now(), c.digest, server.ID)
-	c.recordCrash(server, cause)
-}
-
 // serverHeader returns the header fields of the request to a server.
 func (c *call) serverHeader(server *servers.Server) http.Header {
 	header := platform.ForwardHeaders(c.request.Header)
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -146,7 +146,7 @@
 	if c.ctx.Err() != nil || c.kept.IsDismissed() {
 		return interruptedOrLost(c.headWritten), placement.Neutral
 	}
-	c.recordLoss(server, cause)
+	c.recordBreak(server, c.openedAt, cause)
 	return interruptedOrLost(c.headWritten), placement.Failed
 }
 
--- a/internal/request/forward/suspects.go
+++ b/internal/request/forward/suspects.go
@@ -12,8 +12,10 @@
 
 // Limits of the tracking of suspects.
 const (
-	// lossLimit is how many different servers must be lost while they ran a request before it is refused.
+	// lossLimit is how many crashes of servers that ran a request it takes to refuse it.
 	lossLimit = 3
+	// maxLosses bounds the losses of a request that are kept.
+	maxLosses = 64
 	// maxSuspects bounds the length of a SuspectList; evict chooses the suspects that are dropped.
 	maxSuspects = 4096
 	// lossShareTime is for how long each loss is reported, in case a report is lost, and maxRecentLosses bounds a report.
@@ -23,17 +25,22 @@
 	maxBlockedReported = 64
 )
 
-// Loss is the loss of a server while it ran the request with this digest.
+// Loss is the loss of a server while it ran the request with this digest, as instances tell each other.
 type Loss struct {
 	Digest uint64         `cbor:"1,keyasint"`
 	Server ident.Endpoint `cbor:"2,keyasint"`
 	// AgeMS is how long ago the request last lost a server, in milliseconds.
 	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+	// StartedUnixMS is when the server had started, OpenedUnixMS and BrokenUnixMS when the connection was opened on which the request ran, and when it broke; in
+	// Unix milliseconds, of the agreed time those of the connection. All are 0 in reports of earlier versions.
+	StartedUnixMS int64 `cbor:"4,keyasint,omitempty"`
+	OpenedUnixMS  int64 `cbor:"5,keyasint,omitempty"`
+	BrokenUnixMS  int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// age returns how long ago the request last lost a server; false if the loss does not count any more, or its age is out of range.
+// age returns how long ago the request last lost a server; false if the loss does not count any more, or a field is out of range.
 func (l Loss) age() (time.Duration, bool) {
-	if l.AgeMS < 0 || l.AgeMS > SuspectTTL.Milliseconds() {
+	if l.AgeMS < 0 || l.AgeMS > SuspectTTL.Milliseconds() || l.OpenedUnixMS < 0 || l.OpenedUnixMS > l.BrokenUnixMS {
 		return 0, false
 	}
 	return time.Duration(l.AgeMS) * time.Millisecond, true
@@ -44,44 +51,99 @@
 	// Name is loss_recorded, loss_received or losses_cleared.
 	Name   string
 	Digest uint64
-	Server ident.Endpoint
-	// Servers is the number of different servers that count against the request, before they were cleared.
-	Servers int
+	Server ident.ServerStart
+	// Losses is the number of losses that count against the request, before they were cleared.
+	Losses int
 	// Blocked means that the request is refused from now on.
 	Blocked bool
 }
 
+// SuspectConfig configures a SuspectList.
+type SuspectConfig struct {
+	// OnEvent receives the changes, and must not block; nil drops them.
+	OnEvent func(SuspectEvent)
+	// AgreedTime returns the time of day as all instances see it; nil means time.Now.
+	AgreedTime func() time.Time
+}
+
 // SuspectList implements Suspects in memory. Router instances exchange their losses, so that each counts those of all.
 type SuspectList struct {
-	// onEvent receives the changes; it must not block.
-	onEvent func(SuspectEvent)
+	config  SuspectConfig
 	mu      sync.Mutex
 	entries map[uint64]*suspectEntry
 	// recent holds the losses seen by this instance in the last lossShareTime, the oldest first; guarded by mu.
 	recent []recentLoss
+	// announced holds the requests whose clearance others may not know, by digest, and since when, at most maxRecentLosses; guarded by mu.
+	announced map[uint64]time.Time
+}
+
+// Clearance says that a request got a complete response, at a Unix millisecond of the agreed time: its losses before then do not count any more.
+type Clearance struct {
+	Digest        uint64 `cbor:"1,keyasint"`
+	ClearedUnixMS int64  `cbor:"2,keyasint"`
 }
 
 type suspectEntry struct {
-	// servers are the lost servers, in the order in which they became known. The first ones, as many as cleared says, do not count any
-	// more; they are kept because losses are reported repeatedly.
-	servers  []ident.Endpoint
-	cleared  int
-	lastLoss time.Time
+	// crashes are those that the request was lost in, in the order in which they became known, each once, the latest maxLosses. Those that are cleared are
+	// kept because losses are reported repeatedly.
+	crashes []suspectCrash
+	// completedUnixMS is when the request last got a complete response here, and clearedUnixMS the time before which its losses do not count, in the agreed
+	// time; 0 if that is not known.
+	completedUnixMS, clearedUnixMS int64
+	lastLoss                       time.Time
+}
+
+// suspectCrash is a crash that a request was lost in, and whether that does not count any more.
+type suspectCrash struct {
+	crash
+	cleared bool
 }
 
-func (e *suspectEntry) count() int { return len(e.servers) - e.cleared }
+// counting returns the crashes that count.
+func (e *suspectEntry) counting() []crash {
+	counting := make([]crash, 0, lossLimit)
+	for _, known := range e.crashes {
+		if !known.cleared {
+			counting = append(counting, known.crash)
+		}
+	}
+	return counting
+}
+
+func (e *suspectEntry) count() int { return len(e.counting()) }
+
+// add adds a crash, and reports whether it was not known. It does not count if it came before a time.
+func (e *suspectEntry) add(found crash, clearedUnixMS int64) bool {
+	for index, known := range e.crashes {
+		if !known.isSame(found) {
+			continue
+		}
+		if !known.isTimed() {
+			e.crashes[index].crash = found
+		}
+		return false
+	}
+	e.crashes = append(e.crashes, suspectCrash{found, found.isBefore(clearedUnixMS)})
+	if len(e.crashes) > maxLosses {
+		e.crashes = e.crashes[1:]
+	}
+	return true
+}
 
 type recentLoss struct {
 	Loss
 	at time.Time
 }
 
-// NewSuspectList returns an empty list. onEvent receives its changes, and must not block; nil drops them.
-func NewSuspectList(onEvent func(SuspectEvent)) *SuspectList {
-	if onEvent == nil {
-		onEvent = func(SuspectEvent) {}
+// NewSuspectList returns an empty list.
+func NewSuspectList(config SuspectConfig) *SuspectList {
+	if config.OnEvent == nil {
+		config.OnEvent = func(SuspectEvent) {}
+	}
+	if config.AgreedTime == nil {
+		config.AgreedTime = time.Now
 	}
-	return &SuspectList{onEvent: onEvent, entries: make(map[uint64]*suspectEntry)}
+	return &SuspectList{config: config, entries: make(map[uint64]*suspectEntry), announced: make(map[uint64]time.Time)}
 }
 
 // BlockedLossesOf returns the losses for which a request is blocked, none if it is not.
@@ -98,12 +160,13 @@
 		return nil
 	}
 	age := now.Sub(entry.lastLoss)
-	if entry.count() < lossLimit || age >= SuspectTTL {
+	counting := entry.counting()
+	if len(counting) < lossLimit || age >= SuspectTTL {
 		return nil
 	}
 	losses := make([]Loss, 0, lossLimit)
-	for _, server := range entry.servers[len(entry.servers)-lossLimit:] {
-		losses = append(losses, Loss{Digest: digest, Server: server, AgeMS: max(age, 0).Milliseconds()})
+	for _, each := range counting[len(counting)-lossLimit:] {
+		losses = append(losses, each.loss(digest, age))
 	}
 	return losses
 }
@@ -117,11 +180,12 @@
 }
 
 // RecordLoss implements Suspects.
-func (s *SuspectList) RecordLoss(now time.Time, digest uint64, server ident.Endpoint) {
+func (s *SuspectList) RecordLoss(now time.Time, digest uint64, observed Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(now, Loss{Digest: digest, Server: server}, "loss_recorded")
-	s.recent = append(s.recent, recentLoss{Loss{Digest: digest, Server: server}, now})
+	loss := newCrash(observed, s.config.AgreedTime().Sub(now)).loss(digest, 0)
+	s.add(now, loss, "loss_recorded")
+	s.recent = append(s.recent, recentLoss{loss, now})
 	if len(s.recent) > maxRecentLosses {
 		s.recent = s.recent[1:]
 	}
@@ -132,8 +196,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, loss := range losses {
-		if age, counts := loss.age(); counts {
-			s.add(now.Add(-age), loss, "loss_received")
+		age, counts := loss.age()
+		if !counts {
+			continue
+		}
+		s.add(now.Add(-age), loss, "loss_received")
+		if loss.crash().isBefore(s.entries[loss.Digest].clearedUnixMS) {
+			s.announce(loss.Digest)
 		}
 	}
 }
@@ -149,13 +218,15 @@
 	if at.After(entry.lastLoss) {
 		entry.lastLoss = at
 	}
-	for _, server := range entry.servers {
-		if server == loss.Server {
-			return
-		}
+	found, clearedUnixMS := loss.crash(), entry.clearedUnixMS
+	if event == "loss_recorded" {
+		clearedUnixMS = entry.completedUnixMS
+	}
+	if entry.add(found, clearedUnixMS) {
+		s.config.OnEvent(SuspectEvent{
+			Name: event, Digest: loss.Digest, Server: found.server, Losses: entry.count(), Blocked: entry.count() >= lossLimit,
+		})
 	}
-	entry.servers = append(entry.servers, loss.Server)
-	s.onEvent(SuspectEvent{Name: event, Digest: loss.Digest, Server: loss.Server, Servers: entry.count(), Blocked: entry.count() >= lossLimit})
 }
 
 // evict makes room for one entry if the list is full: it removes expired entries, and others in arbitrary order while the list
@@ -175,9 +246,75 @@
 func (s *SuspectList) Clear(digest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if entry := s.entries[digest]; entry != nil && entry.count() > 0 {
-		s.onEvent(SuspectEvent{Name: "losses_cleared", Digest: digest, Servers: entry.count()})
-		entry.cleared = len(entry.servers)
+	entry := s.entries[digest]
+	if entry == nil || entry.count() == 0 {
+		return
+	}
+	// The break of a connection may have been noticed late at another instance, and what an earlier version reported has no time.
+	entry.completedUnixMS = s.config.AgreedTime().UnixMilli()
+	clearance := Clearance{Digest: digest, ClearedUnixMS: entry.completedUnixMS}
+	latest := clearance.ClearedUnixMS + sameCrashGap.Milliseconds()
+	for _, known := range entry.crashes {
+		clearance.ClearedUnixMS = max(clearance.ClearedUnixMS, min(known.brokenUnixMS+1, latest))
+	}
+	s.apply(clearance)
+	for index := range entry.crashes {
+		entry.crashes[index].cleared = true
+	}
+	s.announce(digest)
+}
+
+// announce has the clearance of a request reported, unless there are many; the caller holds mu.
+func (s *SuspectList) announce(digest uint64) {
+	if len(s.announced) < maxRecentLosses {
+		s.announced[digest] = s.config.AgreedTime()
+	}
+}
+
+// apply clears the losses of a request before a time; the caller holds mu.
+func (s *SuspectList) apply(clearance Clearance) {
+	entry := s.entries[clearance.Digest]
+	if entry == nil || clearance.ClearedUnixMS <= entry.clearedUnixMS {
+		return
+	}
+	before := entry.count()
+	entry.clearedUnixMS = clearance.ClearedUnixMS
+	for index, known := range entry.crashes {
+		entry.crashes[index].cleared = known.cleared || known.isBefore(clearance.ClearedUnixMS)
+	}
+	if entry.count() < before {
+		s.config.OnEvent(SuspectEvent{Name: "losses_cleared", Digest: clearance.Digest, Losses: before})
+	}
+}
+
+// Cleared returns the requests that this instance has cleared in the last lossShareTime, and those that another one reported as lost then although they are
+// cleared here. Merging them again changes nothing.
+func (s *SuspectList) Cleared() []Clearance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.AgreedTime()
+	var cleared []Clearance
+	for digest, since := range s.announced {
+		entry := s.entries[digest]
+		if entry == nil || now.Sub(since) > lossShareTime {
+			delete(s.announced, digest)
+			continue
+		}
+		cleared = append(cleared, Clearance{Digest: digest, ClearedUnixMS: entry.clearedUnixMS})
+	}
+	return cleared
+}
+
+// MergeCleared clears the requests that got complete responses at other instances.
+func (s *SuspectList) MergeCleared(clearances []Clearance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// One that lies ahead of the agreed time would clear losses that are still to come.
+	latest := s.config.AgreedTime().Add(sameCrashGap).UnixMilli()
+	for _, clearance := range clearances {
+		if clearance.ClearedUnixMS <= latest {
+			s.apply(clearance)
+		}
 	}
 }
 
--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -76,6 +76,8 @@
 	Measured map[ident.Pool]placement.LoadReport `cbor:"16,keyasint,omitempty"`
 	// CustomerUse is what customers have asked for and used at the sender, by load-aware engine service.
 	CustomerUse fairshare.Reports `cbor:"14,keyasint,omitempty"`
+	// Cleared are requests that got complete responses at the sender although servers were lost while they ran them.
+	Cleared []forward.Clearance `cbor:"18,keyasint,omitempty"`
 }
 
 // gossip exchanges load reports with peers in UDP datagrams. Each message holds the full state, so the next one makes up for a
@@ -151,6 +153,7 @@
 		g.mergeHealth(now, received)
 		g.mergeMeasured(now, received)
 		g.router.suspects.Merge(now, received.Losses)
+		g.router.suspects.MergeCleared(received.Cleared)
 		if err := received.Quarantine.Check(); err != nil {
 			g.router.journal.Log("peer_report_refused", "peer", received.Process, "err", err)
 		} else {
@@ -236,7 +239,7 @@
 			continue
 		}
 		update := g.router.message()
-		update.Losses = g.router.suspects.Recent(time.Now())
+		update.Losses, update.Cleared = g.router.suspects.Recent(time.Now()), g.router.suspects.Cleared()
 		plain := g.router.encode(update)
 		complete, statisticsPeers := plain, 0
 		if now := clock.Boot(); now.Sub(sentStatistics) > statisticsInterval-interval/2 {
--- a/internal/role/router/router.go
+++ b/internal/role/router/router.go
@@ -150,7 +150,9 @@
 	r.origins = r.newOrigins()
 	r.softwareChanged = make(chan struct{}, 1)
 	r.pendingSuspects = make(chan uint64, maxPendingSuspects)
-	r.suspects = forward.NewSuspectList(r.recordSuspect)
+	r.suspects = forward.NewSuspectList(forward.SuspectConfig{
+		OnEvent: r.recordSuspect, AgreedTime: func() time.Time { return r.peers.AgreedTime() },
+	})
 	r.crashes.OnCrash = r.recordCrash
 	r.pendingVerdicts = make(chan quarantine.VerdictReport, maxPendingVerdicts)
 	r.quarantine = quarantine.New(quarantine.Config{OwnsTrials: r.ownsTrials, OnEvent: r.recordQuarantine})
--- a/internal/role/router/suspects.go
+++ b/internal/role/router/suspects.go
@@ -25,24 +25,60 @@
 
 // suspectRow is a blocked request in the store; its key holds the digest.
 type suspectRow struct {
-	// Servers are those that were lost while they ran the request.
+	// Servers are those that were lost while they ran the request, one for each loss. Earlier versions read and write them alone.
 	Servers []ident.Endpoint `json:"servers"`
+	// Losses say more of the losses; they are as many as Servers, or none.
+	Losses []suspectRowLoss `json:"losses,omitempty"`
 	// EndsUnixMS is when the losses do not count any more, in Unix milliseconds of the agreed time.
 	EndsUnixMS int64 `json:"ends_unix_ms"`
 }
 
+// suspectRowLoss is one loss of a server, in Unix milliseconds as in forward.Loss.
+type suspectRowLoss struct {
+	StartedUnixMS int64 `json:"started_unix_ms"`
+	OpenedUnixMS  int64 `json:"opened_unix_ms"`
+	BrokenUnixMS  int64 `json:"broken_unix_ms"`
+}
+
 // Check returns an error if a field is out of range.
 func (s suspectRow) Check() error {
 	if len(s.Servers) == 0 || len(s.Servers) > maxSuspectServers {
 		return oops.Errorf("request that crashed servers: found %d servers, want 1 to %d", len(s.Servers), maxSuspectServers)
 	}
+	if len(s.Losses) != 0 && len(s.Losses) != len(s.Servers) {
+		return oops.Errorf("request that crashed servers: found %d losses, want none or %d, as many as servers", len(s.Losses), len(s.Servers))
+	}
 	return nil
 }
 
+// newSuspectRow returns the row of a request that is blocked for these losses.
+func newSuspectRow(losses []forward.Loss, endsUnixMS int64) suspectRow {
+	row := suspectRow{EndsUnixMS: endsUnixMS}
+	for _, loss := range losses {
+		row.Servers = append(row.Servers, loss.Server)
+		row.Losses = append(row.Losses, suspectRowLoss{loss.StartedUnixMS, loss.OpenedUnixMS, loss.BrokenUnixMS})
+	}
+	return row
+}
+
+// losses returns the losses of the request with this digest, which counts as a suspect for the remaining time in milliseconds.
+func (s suspectRow) losses(digest uint64, remaining int64) []forward.Loss {
+	losses := make([]forward.Loss, len(s.Servers))
+	for index, server := range s.Servers {
+		losses[index] = forward.Loss{Digest: digest, Server: server, AgeMS: forward.SuspectTTL.Milliseconds() - remaining}
+		if len(s.Losses) > 0 {
+			timed := s.Losses[index]
+			losses[index].StartedUnixMS, losses[index].OpenedUnixMS, losses[index].BrokenUnixMS = timed.StartedUnixMS, timed.OpenedUnixMS, timed.BrokenUnixMS
+		}
+	}
+	return losses
+}
+
 // recordSuspect logs and counts a change, and has a request that this instance saw to be blocked written to the store.
 func (r *Router) recordSuspect(event forward.SuspectEvent) {
 	r.metrics.suspectEvents.WithLabelValues(event.Name).Inc()
-	r.journal.Log(event.Name, "digest", strconv.FormatUint(event.Digest, 16), "server", event.Server, "servers", event.Servers)
+	r.journal.Log(event.Name, "digest", strconv.FormatUint(event.Digest, 16), "server", event.Server.ID,
+		"started_unix_ms", event.Server.StartedUnixMS, "losses", event.Losses)
 	if event.Name != "loss_recorded" || !event.Blocked {
 		return
 	}
@@ -115,11 +151,7 @@
 	if remaining <= 0 {
 		return nil, nil
 	}
-	losses := make([]forward.Loss, 0, len(row.Servers))
-	for _, server := range row.Servers {
-		losses = append(losses, forward.Loss{Digest: digest, Server: server, AgeMS: forward.SuspectTTL.Milliseconds() - remaining})
-	}
-	return losses, nil
+	return row.losses(digest, remaining), nil
 }
 
 // writeSuspect writes a request while it is blocked, unless the row has changed meanwhile: the write may be performed late.
@@ -134,11 +166,7 @@
 		return nil
 	}
 	remaining := forward.SuspectTTL - time.Duration(losses[0].AgeMS)*time.Millisecond
-	row := suspectRow{EndsUnixMS: r.peers.AgreedTime().Add(remaining).UnixMilli()}
-	for _, loss := range losses {
-		row.Servers = append(row.Servers, loss.Server)
-	}
-	value, err := json.Marshal(row)
+	value, err := json.Marshal(newSuspectRow(losses, r.peers.AgreedTime().Add(remaining).UnixMilli()))
 	if err != nil {
 		return oops.Wrapf(err, "encode a request that crashed servers")
 	}
