Suspects of the entry: cleared losses make room for later ones

A request of which 64 losses were cleared within its ten minutes is never refused again.

Cause: a suspicion keeps its first 64 losses by name, those that were cleared too, so that later ones are cut off. Evidence: TestManyClearedLosses fails before.

Change and why it works: beyond 64, losses that were cleared are dropped first. The ids of losses themselves are sound: they hold the sidecar's incarnation and the number of the crash.

Measured: go test ./internal/process/suspect ./internal/request/guard ./internal/request/dispatch passes.

--- a/internal/process/suspect/suspect.go
+++ b/internal/process/suspect/suspect.go
@@ -74,17 +74,36 @@
 
 // Merge returns the union of both suspicions.
 func (s Suspicion) Merge(other Suspicion) Suspicion {
-	return Suspicion{
+	merged := Suspicion{
 		Digest: s.Digest, Losses: union(s.Losses, other.Losses), Cleared: union(s.Cleared, other.Cleared),
 		EndsUnixMS: max(s.EndsUnixMS, other.EndsUnixMS),
 	}
+	merged.bound()
+	return merged
 }
 
 func union(a, b []Loss) []Loss {
 	merged := slices.Concat(a, b)
 	slices.Sort(merged)
-	merged = slices.Compact(merged)
-	return merged[:min(len(merged), maxStoredLosses)]
+	return slices.Compact(merged)
+}
+
+// bound drops losses beyond maxStoredLosses, those that were cleared first: otherwise they would take the place of later ones.
+func (s *Suspicion) bound() {
+	drop := func(losses []Loss, count int, matches func(Loss) bool) []Loss {
+		return slices.DeleteFunc(losses, func(loss Loss) bool {
+			if count <= 0 || !matches(loss) {
+				return false
+			}
+			count--
+			return true
+		})
+	}
+	isCleared := func(loss Loss) bool { return slices.Contains(s.Cleared, loss) }
+	s.Losses = drop(s.Losses, len(s.Losses)-maxStoredLosses, isCleared)
+	s.Losses = s.Losses[:min(len(s.Losses), maxStoredLosses)]
+	s.Cleared = drop(s.Cleared, len(s.Cleared)-maxStoredLosses, func(loss Loss) bool { return !slices.Contains(s.Losses, loss) })
+	s.Cleared = s.Cleared[:min(len(s.Cleared), maxStoredLosses)]
 }
 
 // Equal reports whether both suspicions have the same losses, cleared losses and expiry.
@@ -229,6 +248,7 @@
 		return
 	}
 	suspicion.Cleared = union(suspicion.Cleared, suspicion.Losses)
+	suspicion.bound()
 	r.suspicions[digest] = suspicion
 	r.markChanged(digest)
 }
--- a/internal/process/suspect/suspect_test.go
+++ b/internal/process/suspect/suspect_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +42,28 @@
 	is.Equal(status(start.Add(suspect.Penalty)), suspect.Allowed)
 }
 
+// TestManyClearedLosses guards against requests that are never refused once many of their losses were cleared: those took the place of later ones.
+func TestManyClearedLosses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	registry := suspect.NewRegistry()
+	for number := range 200 {
+		registry.RecordLoss(1, suspect.Loss(fmt.Sprintf("sidecar/%03d", number)), start)
+		registry.Clear(1)
+	}
+	for _, loss := range []suspect.Loss{"sidecar/200", "sidecar/201"} {
+		found, _ := registry.Status(1, start)
+		is.True(found != suspect.Blocked)
+		registry.RecordLoss(1, loss, start)
+	}
+	found, _ := registry.Status(1, start)
+	is.Equal(found, suspect.Blocked)
+	for _, suspicion := range registry.TakeUnshared() {
+		is.NoErr(suspicion.Check())
+		is.True(slices.Contains(suspicion.Losses, "sidecar/201"))
+	}
+}
+
 // TestMerge verifies that suspicions may be merged more than once, in any order and grouping.
 func TestMerge(t *testing.T) {
 	t.Parallel()
