Soak: restarts in turn, servers born again, and keys that all go, from seed 90,000

Cause: no generator drew the three classes: each router was interrupted once, servers crashed for good or by parts of prompts, and each withdrawn key was replaced.

Change: seeds from 90,000 on stop or kill the routers in turn, twice, while streams of several software versions are taken up up to 12 s later, one in eight with an id of 4,000 bytes; a request crashes the one or two servers of a small service, which are born again; at the end all keys are withdrawn, and callers go on. Small seeds keep their sequence of faults.

--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -107,7 +107,8 @@
 	loads             *loadHeaders
 	restarts          *restarts
 	// part is nil for seeds without engines.
-	part *crashingPart
+	part  *crashingPart
+	turns *turns
 }
 
 // routerProcess is one router instance and the proxy between it and the store.
@@ -148,6 +149,7 @@
 		drained: make(map[ident.Endpoint]time.Time), keys: []string{"k0", "k1", "k2"},
 		registrations: make(map[ident.Endpoint]platform.Server), faults: newBackendFaults(), interrupted: make(map[int]bool), proxies: make(map[ident.Endpoint]*proxy), withBackendFaults: seed >= firstBackendFaultSeed,
 		unframed: newUnframedResponses(seed), limits: newRateLimits(seed), versions: newSoftwareVersions(seed), loads: newLoadHeaders(seed), restarts: newRestarts(seed), part: newCrashingPart(seed),
+		turns: newTurns(seed),
 	}
 	e.lastFault = platformtest.Corrupt
 	if seed >= firstLateSeed {
@@ -156,6 +158,7 @@
 	t.Cleanup(e.store.Close)
 	t.Cleanup(e.duties.Close)
 	e.configure()
+	e.turns.addServers(e)
 	if e.part != nil {
 		e.addEngines()
 	} else {
@@ -193,9 +196,13 @@
 		configuration.Routes = append(configuration.Routes, route)
 	}
 	e.loads.configure(&configuration)
+	e.turns.configure(&configuration)
 	for _, key := range e.keys {
 		configuration.Customers = append(configuration.Customers, platform.Customer{Name: ident.Customer("c-" + key), Keys: []string{key}})
 	}
+	if len(e.keys) == 0 {
+		configuration.Customers = e.turns.remainingCustomers()
+	}
 	e.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration)
 }
 
--- a/soak/load_aware_test.go
+++ b/soak/load_aware_test.go
@@ -21,7 +21,7 @@
 }
 
 func newLoadHeaders(seed uint64) *loadHeaders {
-	return &loadHeaders{enabled: seed >= firstLoadAwareSeed, random: rand.New(rand.NewPCG(seed, firstLoadAwareSeed))}
+	return &loadHeaders{enabled: seed >= firstLoadAwareSeed && seed < firstTurnSeed, random: rand.New(rand.NewPCG(seed, firstLoadAwareSeed))}
 }
 
 // configure makes the plain service load-aware by an engine service beside it whose streams allow pauses of 300 ms.
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -37,7 +37,7 @@
 func newRestarts(seed uint64) *restarts {
 	random := rand.New(rand.NewPCG(seed, firstRestartSeed))
 	return &restarts{
-		enabled: seed >= firstRestartSeed, random: random, failures: 0.3 + 0.6*random.Float64(), arrivals: make(map[string][]time.Time),
+		enabled: seed >= firstRestartSeed && seed < firstTurnSeed, random: random, failures: 0.3 + 0.6*random.Float64(), arrivals: make(map[string][]time.Time),
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,7 +5,8 @@
 // Seeds from 10,000 on also include late and slow calls to the store, those from 20,000 on also faults of the backends, and those from
 // 30,000 on also unframed responses. Those from 40,000 to 59,999 run engines, which a part of prompts crashes; those from 60,000 on add rate
 // limits that servers name and servers of several software versions, and those from 70,000 on a load-aware service whose servers state their load, truly or not. Those from 80,000 on
-// check the retry budget while most requests fail and routers are interrupted in series. -routers 60 tests a large fleet.
+// check the retry budget while most requests fail and routers are interrupted in series, and those from 90,000 on what outlives restarts in turn, servers that are born again and
+// keys that all go. -routers 60 tests a large fleet.
 // The environment variable SOAK_LOGS names a folder for the processes' logs.
 package soak_test
 
@@ -64,6 +65,7 @@
 	firstSharedDecisionSeed + 1, firstSharedDecisionSeed + 2,
 	firstLoadAwareSeed + 1, firstLoadAwareSeed + 2,
 	firstRestartSeed + 1, firstRestartSeed + 2,
+	firstTurnSeed + 1, firstTurnSeed + 2,
 }
 
 // TestSoak checks that the routers' guarantees hold under faults, for each seed.
@@ -85,6 +87,8 @@
 				e.runCrashingPart()
 			case e.restarts.enabled:
 				e.runRestarts()
+			case e.turns != nil:
+				e.runTurns()
 			default:
 				e.runSeed()
 			}
@@ -281,7 +285,10 @@
 		kind := kinds[(caller+count)%len(kinds)]
 		router := e.routers[(caller+count/7)%len(e.routers)]
 		e.mu.Lock()
-		key := e.keys[count%len(e.keys)]
+		key := neverHeld
+		if len(e.keys) > 0 {
+			key = e.keys[count%len(e.keys)]
+		}
 		for withdrawnKey := range e.withdrawn {
 			if count%5 == 0 {
 				key = withdrawnKey
