--- a/soak/software_versions_test.go
+++ b/soak/software_versions_test.go
@@ -37,9 +37,32 @@
 	servers map[ident.Endpoint]ident.Software
 	// mixed describes the streams with events of two versions; guarded by mu.
 	mixed []string
-	// started, begun, takenUp and wentOn count the streams, and those that callers took up, of routers without recent faults, and those of
-	// them of which the caller got events; guarded by mu.
-	started, begun, takenUp, wentOn int
+	// counts is of the tries at routers without recent faults; guarded by mu.
+	counts streamCounts
+}
+
+// streamCounts counts the streams, and those that callers took up, and those of them of which the caller got events.
+type streamCounts struct{ started, begun, takenUp, wentOn int }
+
+func (c *streamCounts) add(try streamTry, takenUp bool) {
+	hasEvents := 0
+	if try.last > try.after {
+		hasEvents = 1
+	}
+	if takenUp {
+		c.takenUp, c.wentOn = c.takenUp+1, c.wentOn+hasEvents
+	} else {
+		c.started, c.begun = c.started+1, c.begun+hasEvents
+	}
+}
+
+// goOn reports whether the streams that were taken up go on often enough.
+func (c *streamCounts) goOn() bool {
+	return float64(c.wentOn)*float64(c.started) >= minGoingOn*float64(c.begun)*float64(c.takenUp)
+}
+
+func (c *streamCounts) String() string {
+	return fmt.Sprintf("%d of %d streams began, %d of %d that were taken up went on", c.begun, c.started, c.wentOn, c.takenUp)
 }
 
 func newSoftwareVersions(seed uint64) *softwareVersions {
@@ -137,15 +160,7 @@
 	v := e.versions
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	hasEvents := 0
-	if try.last > try.after {
-		hasEvents = 1
-	}
-	if takenUp {
-		v.takenUp, v.wentOn = v.takenUp+1, v.wentOn+hasEvents
-	} else {
-		v.started, v.begun = v.started+1, v.begun+hasEvents
-	}
+	v.counts.add(try, takenUp)
 }
 
 // checkVersions records a stream with events of servers of two versions.
@@ -248,12 +263,11 @@
 	if !v.enabled {
 		return
 	}
-	e.t.Logf("%d of %d streams began, %d of %d that were taken up went on, %d hold two software versions",
-		v.begun, v.started, v.wentOn, v.takenUp, len(v.mixed))
+	e.t.Logf("%v, %d hold two software versions", &v.counts, len(v.mixed))
 	if len(v.mixed) > maxMixedStreams {
 		e.failf("%d streams hold events of two software versions, want at most %d: %s", len(v.mixed), maxMixedStreams, strings.Join(v.mixed, "\n"))
 	}
-	if v.takenUp >= minTakenUp && float64(v.wentOn)*float64(v.started) < minGoingOn*float64(v.begun)*float64(v.takenUp) {
-		e.failf("%d of %d streams that were taken up went on, but %d of %d began", v.wentOn, v.takenUp, v.begun, v.started)
+	if v.counts.takenUp >= minTakenUp && !v.counts.goOn() {
+		e.failf("streams can't be taken up: %v", &v.counts)
 	}
 }
--- a/soak/turns_test.go
+++ b/soak/turns_test.go
@@ -45,8 +45,8 @@
 	// crashes holds the times of the crashes of the small service's servers, and arrivals the ids of the tries that reached them; guarded by mu.
 	crashes  []time.Time
 	arrivals []string
-	// started, begun, takenUp and wentOn count the streams that were taken up later, as those of softwareVersions; guarded by mu.
-	started, begun, takenUp, wentOn int
+	// counts is of the streams that are taken up later; guarded by mu.
+	counts streamCounts
 }
 
 func newTurns(seed uint64) *turns {
@@ -187,15 +187,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	hasEvents := 0
-	if try.last > try.after {
-		hasEvents = 1
-	}
-	if takenUp {
-		t.takenUp, t.wentOn = t.takenUp+1, t.wentOn+hasEvents
-	} else {
-		t.started, t.begun = t.started+1, t.begun+hasEvents
-	}
+	t.counts.add(try, takenUp)
 }
 
 // checkLaterStreams checks that streams which callers take up seconds later go on, at least half as often as new ones begin.
@@ -203,9 +195,9 @@
 	t := e.turns
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e.t.Logf("taken up later: %d of %d streams began, %d of %d went on", t.begun, t.started, t.wentOn, t.takenUp)
-	if t.takenUp < minTakenUp || float64(t.wentOn)*float64(t.started) < minGoingOn*float64(t.begun)*float64(t.takenUp) {
-		e.failf("%d of %d streams that were taken up later went on, but %d of %d began", t.wentOn, t.takenUp, t.begun, t.started)
+	e.t.Logf("taken up later: %v", &t.counts)
+	if t.counts.takenUp < minTakenUp || !t.counts.goOn() {
+		e.failf("streams can't be taken up later: %v", &t.counts)
 	}
 }
 
