Gossip: losses that there is no room for are left out, not the whole message

After crashes of several servers that ran hundreds of requests, an instance's message with its load, health and speeds would be over 32 KiB, and was not sent at all.

Cause: a loss takes about 60 bytes instead of 30; 448 of them, beside the speeds of 128 servers, pass the limit of a datagram. Evidence: TestLossesFit fails before.

Change and why it works: the oldest losses are left out until the message fits; they are repeated for 3 s, and blocked requests come last.

Measured: go test ./internal/role/router -run Fit passes, make lint.

--- a/internal/role/router/gossip.go
+++ b/internal/role/router/gossip.go
@@ -202,9 +202,14 @@
 	g.writeTo(from, g.router.encode(answer))
 }
 
-// encode returns the datagram of a message, nil if it is too long.
+// encode returns the datagram of a message, nil if it is too long. It leaves out losses that there is no room for, the oldest first: after crashes of several servers
+// there are hundreds, and the rest of the message must not be lost with them.
 func (r *Router) encode(content message) []byte {
 	datagram, err := cbor.Marshal(content)
+	for err == nil && len(datagram) > maxMessageBytes && len(content.Losses) > 0 {
+		content.Losses = content.Losses[(len(content.Losses)+1)/2:]
+		datagram, err = cbor.Marshal(content)
+	}
 	if err != nil || len(datagram) > maxMessageBytes {
 		r.journal.Log("peers_untold", "bytes", len(datagram), "err", err)
 		return nil
--- a/internal/role/router/speeds_test.go
+++ b/internal/role/router/speeds_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"vanillapond/internal/process/journal"
+	"vanillapond/internal/request/forward"
 	"vanillapond/internal/request/placement"
 	"vanillapond/internal/request/servermodel"
 	"vanillapond/pkg/ident"
@@ -60,6 +62,36 @@
 	is.Equal(log.String(), "")
 }
 
+// TestLossesFit guards against gossip messages that are too long to be sent because of the losses after crashes of several servers.
+func TestLossesFit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var log bytes.Buffer
+	r := speedRouter(&log, 300)
+	now := time.Now()
+	suspects := forward.NewSuspectList(forward.SuspectConfig{})
+	for digest := range uint64(1000) {
+		for server := range 3 {
+			suspects.RecordLoss(now, 1<<60+digest, forward.Crash{
+				Server:   ident.ServerStart{ID: ident.Endpoint(fmt.Sprintf("i-%020d", server)), StartedUnixMS: 1_784_000_000_000},
+				OpenedAt: now.Add(-time.Second), BrokenAt: now,
+			})
+		}
+	}
+	losses := append(suspects.Recent(now), suspects.BlockedLosses(now)...)
+	sent := message{Process: "p", Speeds: r.speedReports(now), Losses: losses}
+	whole, err := cbor.Marshal(sent)
+	is.NoErr(err)
+	is.True(len(whole) > maxMessageBytes) // Otherwise there is nothing to leave out.
+	var received message
+	is.NoErr(cbor.Unmarshal(r.encode(sent), &received))
+	is.Equal(len(received.Speeds["s"].Servers), maxSpeedServers)
+	is.True(len(received.Losses) > 0)
+	is.Equal(received.Losses[len(received.Losses)-1], losses[len(losses)-1])
+	r.journal.Close(time.Second)
+	is.Equal(log.String(), "")
+}
+
 // TestInvalidSpeedReportIsRefused guards against reports out of range that reach the model.
 func TestInvalidSpeedReportIsRefused(t *testing.T) {
 	t.Parallel()
